--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Index of chores. Every target sets up the virtual environment it needs.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+DEPLOYMENT ?= ljusgemenskapen
+SIZES ?= 10,30,60
+TRACE ?= examples/traces/ljusgemenskapen.jsonl
+STAMP = $(VENV)/.installed
+PROJECTS = $(wildcard packages/*/pyproject.toml)
+
+.PHONY: help setup demo test lint format scenarios replay bench bench-control clean
+
+help:  ## List the targets.
+	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
+
+setup: $(STAMP)  ## Create the virtual environment and install the workspace.
+
+$(STAMP): $(PROJECTS)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --upgrade setuptools
+	$(BIN)/pip install --quiet -e packages/godwitrack -e packages/godwitrack_node \
+		-e packages/godwitrack_ctl -e packages/godwitrack_lab
+	touch $(STAMP)
+
+demo: setup  ## Run one deployment end to end (DEPLOYMENT=ljusgemenskapen or hinokuni).
+	$(BIN)/python -m godwitrack_lab.demo --deployment=$(DEPLOYMENT)
+
+test: lint  ## Run the formatter check, the linter and every test.
+	$(BIN)/python -m pytest
+
+lint: setup  ## Check formatting and lint.
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup  ## Format the tree and mend what the linter can.
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+scenarios: setup  ## Run the scripted scenarios and print their figures.
+	$(BIN)/python -m pytest scenarios -rP
+
+replay: setup  ## Replay a trace against the policy and its baselines (TRACE=...).
+	$(BIN)/python -m godwitrack_lab.replay --trace=$(TRACE)
+
+bench: setup  ## Measure the latency added to a request.
+	$(BIN)/python -m godwitrack_lab.bench
+
+bench-control: setup  ## Measure control traffic of real nodes (SIZES=10,30,60).
+	$(BIN)/python -m godwitrack_lab.benchcontrol --sizes=$(SIZES)
+
+clean:  ## Remove what the other targets made.
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel and shared types of the godwitrack load balancer."""
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -0,0 +1,205 @@
+"""Every exception of godwitrack, under one base, and the closed list of error kinds."""
+
+import enum
+
+
+class ErrorKind(enum.Enum):
+    """The closed list of reasons for which a request gets an error answer."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_ALLOWED = "not_allowed"
+    UNKNOWN_SERVICE = "unknown_service"
+    WRONG_REGION = "wrong_region"
+    BODY_TOO_LARGE = "body_too_large"
+    TOO_DEEP = "too_deep"
+    OVER_CAPACITY = "over_capacity"
+    SERVER_BUSY = "server_busy"
+    NO_SERVER = "no_server"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    LEASE_LAPSED = "lease_lapsed"
+    STALE_INCARNATION = "stale_incarnation"
+    FENCED = "fenced"
+    DEADLINE_EXPIRED = "deadline_expired"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_LOST = "answer_lost"
+    TIMEOUT = "timeout"
+    INTERNAL = "internal"
+
+
+class ErrorAnswer:
+    """What a caller is told for one error kind.
+
+    Attributes:
+        status: HTTP status code.
+        not_run: Whether the request certainly did not run at any backend server.
+        retryable: Whether a node may try the request elsewhere at once.
+        repeatable: Whether the caller may send the request again as it is.
+        text: One sentence for people.
+    """
+
+    __slots__ = ("not_run", "repeatable", "retryable", "status", "text")
+
+    def __init__(self, status, not_run, retryable, repeatable, text):
+        self.status = status
+        self.not_run = not_run
+        self.retryable = retryable
+        self.repeatable = repeatable
+        self.text = text
+
+
+ERROR_ANSWERS = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(
+        400, True, False, False, "The request is malformed."
+    ),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(
+        401, True, False, False, "The customer's key is missing or unknown."
+    ),
+    ErrorKind.NOT_ALLOWED: ErrorAnswer(
+        403, True, False, False, "The customer's plan does not include this route."
+    ),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(
+        404, True, False, False, "No service of this name is known."
+    ),
+    ErrorKind.WRONG_REGION: ErrorAnswer(
+        421, True, True, True, "The request may not be served in this region."
+    ),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(
+        413, True, False, False, "The body is larger than the limit."
+    ),
+    ErrorKind.TOO_DEEP: ErrorAnswer(
+        508, True, False, False, "The chain of calls is deeper than the limit."
+    ),
+    ErrorKind.OVER_CAPACITY: ErrorAnswer(
+        429, True, False, True, "The customer is over the capacity of its plan."
+    ),
+    ErrorKind.SERVER_BUSY: ErrorAnswer(
+        503, True, True, True, "The backend server can bear no more load now."
+    ),
+    ErrorKind.NO_SERVER: ErrorAnswer(
+        503, True, False, True, "No backend server may take the request now."
+    ),
+    ErrorKind.NOT_READY: ErrorAnswer(
+        503, True, True, True, "The node has no configuration yet."
+    ),
+    ErrorKind.STOPPING: ErrorAnswer(
+        503, True, True, True, "The backend server is leaving service."
+    ),
+    ErrorKind.LEASE_LAPSED: ErrorAnswer(
+        503, True, True, True, "The node was paused and has not caught up yet."
+    ),
+    ErrorKind.STALE_INCARNATION: ErrorAnswer(
+        503, True, True, True, "The backend server was replaced."
+    ),
+    ErrorKind.FENCED: ErrorAnswer(
+        503, True, True, True, "The request was withdrawn before it ran."
+    ),
+    ErrorKind.DEADLINE_EXPIRED: ErrorAnswer(
+        504, True, False, True, "The deadline passed before the request ran."
+    ),
+    ErrorKind.BACKEND_UNREACHABLE: ErrorAnswer(
+        502, True, True, True, "The backend server accepted no connection."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(
+        502, False, False, False, "It is not known whether the request ran."
+    ),
+    ErrorKind.ANSWER_LOST: ErrorAnswer(
+        502, False, False, False, "The request was sent; its answer was lost."
+    ),
+    ErrorKind.TIMEOUT: ErrorAnswer(
+        504, False, False, False, "The deadline passed while the request ran."
+    ),
+    ErrorKind.INTERNAL: ErrorAnswer(
+        500, False, False, False, "The node failed while it handled the request."
+    ),
+}
+
+
+class GodwitrackError(Exception):
+    """Base of every exception raised by godwitrack."""
+
+
+class SettingsError(GodwitrackError):
+    """A settings file or a list is wrong; the text names file, field and cause."""
+
+
+class MessageError(GodwitrackError):
+    """A frame between nodes could not be decoded."""
+
+
+class LinkError(GodwitrackError):
+    """A link between nodes failed or was closed."""
+
+
+class LinkTimeout(LinkError):
+    """Nothing arrived on a link within the time allowed."""
+
+
+class LinkRefused(LinkError):
+    """The other side of a link did not accept the opening handshake."""
+
+
+class StoreError(GodwitrackError):
+    """The platform's store did not give a usable answer; a write may have happened."""
+
+
+class ConflictError(GodwitrackError):
+    """A transaction's precondition did not hold, so that nothing was written.
+
+    Attributes:
+        keys: Names of the rows whose version differed.
+    """
+
+    def __init__(self, keys):
+        super().__init__(f"rows changed meanwhile: {', '.join(keys)}")
+        self.keys = keys
+
+
+class RevisionConflict(GodwitrackError):
+    """An operator's change was based on a revision that is no longer the newest.
+
+    Attributes:
+        base: Revision that the operator read.
+        current: Newest revision.
+    """
+
+    def __init__(self, base, current):
+        super().__init__(f"based on revision {base}, but {current} is in force")
+        self.base = base
+        self.current = current
+
+
+class RequestError(GodwitrackError):
+    """A request ends with an error answer.
+
+    Attributes:
+        kind: The ErrorKind.
+        detail: One line for people; never holds a body or a key.
+    """
+
+    def __init__(self, kind, detail=""):
+        super().__init__(detail or ERROR_ANSWERS[kind].text)
+        self.kind = kind
+        self.detail = detail or ERROR_ANSWERS[kind].text
+
+    @property
+    def answer(self):
+        """The ErrorAnswer of this error's kind."""
+        return ERROR_ANSWERS[self.kind]
+
+
+class DuplicateRequest(RequestError):
+    """A second copy of a request arrived; it is refused and the first one goes on."""
+
+    def __init__(self):
+        super().__init__(ErrorKind.OUTCOME_UNKNOWN, "a second copy of the request")
+
+
+class CallerGone(GodwitrackError):
+    """The caller closed its connection before the answer was complete."""
+
+
+class StartError(ExceptionGroup):
+    """One or more services of a node failed to start or stop."""
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -0,0 +1,317 @@
+"""Links between nodes: WebSocket connections that carry one exchange at a time."""
+
+import collections
+import hashlib
+import hmac
+import os
+import select
+import socket
+import struct
+import time
+
+from websockets.client import ClientProtocol
+from websockets.frames import Opcode
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from godwitrack.exceptions import LinkError, LinkRefused, LinkTimeout, MessageError
+from godwitrack.messages import decode_message
+
+MAX_FRAME_BYTES = 4 * 2**20
+RECEIVE_BYTES = 256 * 1024
+PROOF_AGE_SECONDS = 60
+USER_TIMEOUT_MS = 15_000
+PROOF_HEADER = "Godwitrack-Proof"
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class Link:
+    """One open link; used by one thread at a time.
+
+    Attributes:
+        remote: Address of the other side as "host:port".
+        sent_bytes: Bytes given to the socket so far.
+        received_bytes: Bytes read from the socket so far.
+    """
+
+    __slots__ = (
+        "_inbox",
+        "_protocol",
+        "_socket",
+        "received_bytes",
+        "remote",
+        "sent_bytes",
+    )
+
+    def __init__(self, sock, protocol, remote):
+        self._socket = sock
+        self._protocol = protocol
+        self._inbox = collections.deque()
+        self.remote = remote
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def fileno(self):
+        """Return the socket's descriptor, for select."""
+        return self._socket.fileno()
+
+    def send(self, message, timeout=None):
+        """Send one message.
+
+        Args:
+            message: A Message.
+            timeout: Seconds allowed for the socket to take it, or None.
+
+        Raises:
+            LinkError: The link is closed or does not take the message in time.
+        """
+        if self._protocol.state is not State.OPEN:
+            raise LinkError("link is closed")
+        self._protocol.send_binary(message.encode())
+        self._flush(timeout)
+
+    def receive(self, timeout=None):
+        """Return the next message.
+
+        Args:
+            timeout: Seconds to wait, or None to wait for ever.
+
+        Raises:
+            LinkTimeout: Nothing arrived in time; the link can still be used.
+            LinkError: The link was closed or a frame is wrong.
+        """
+        deadline = None if timeout is None else time.monotonic() + timeout
+        while True:
+            while self._inbox:
+                frame = self._inbox.popleft()
+                if frame.opcode is Opcode.BINARY and frame.fin:
+                    try:
+                        return decode_message(frame.data)
+                    except MessageError:
+                        self.abort()
+                        raise
+                if frame.opcode is Opcode.CLOSE:
+                    self.close()
+                    raise LinkError("link was closed by the other side")
+                if frame.opcode not in (Opcode.PING, Opcode.PONG):
+                    self.abort()
+                    raise MessageError("a frame is not one whole binary message")
+            remaining = None
+            if deadline is not None:
+                remaining = max(deadline - time.monotonic(), 0.0)
+            self._read(remaining)
+
+    def has_input(self):
+        """Tell whether bytes, or the end of the connection, wait to be read."""
+        if self._inbox:
+            return True
+        try:
+            poller = select.poll()
+            poller.register(self._socket, select.POLLIN)
+            return bool(poller.poll(0))
+        except (OSError, ValueError):
+            return True
+
+    def close(self):
+        """Close the link; what was sent is still delivered."""
+        try:
+            if self._protocol.state is State.OPEN:
+                self._protocol.send_close(1000)
+                self._flush(0.1)
+        except (LinkError, OSError):
+            pass
+        self._socket.close()
+
+    def abort(self):
+        """Close the link at once; bytes that the machine still holds are dropped."""
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        except OSError:
+            pass
+        self._socket.close()
+
+    def interrupt(self):
+        """Wake the thread that waits in receive; called from another thread."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def _read(self, timeout):
+        try:
+            self._socket.settimeout(timeout if timeout != 0 else 0.0)
+            data = self._socket.recv(RECEIVE_BYTES)
+        except (TimeoutError, BlockingIOError):
+            raise LinkTimeout("nothing arrived in time") from None
+        except OSError as error:
+            raise LinkError(f"link failed: {error.strerror or error}") from None
+        if not data:
+            raise LinkError("link ended")
+        self.received_bytes += len(data)
+        self._protocol.receive_data(data)
+        if self._protocol.parser_exc is not None:
+            self.abort()
+            raise MessageError("the bytes are no WebSocket frame")
+        self._inbox.extend(self._protocol.events_received())
+        self._flush(1.0)
+
+    def _flush(self, timeout):
+        data = b"".join(self._protocol.data_to_send())
+        if not data:
+            return
+        try:
+            self._socket.settimeout(timeout)
+            self._socket.sendall(data)
+        except OSError as error:
+            self.abort()
+            raise LinkError(f"link failed: {error.strerror or error}") from None
+        self.sent_bytes += len(data)
+
+
+class Authenticator:
+    """Makes and checks the proofs that both sides of a link know the secret."""
+
+    def __init__(self, secret, clock):
+        self._secret = secret.encode()
+        self._clock = clock
+        self._seen = collections.OrderedDict()
+
+    def make_proof(self):
+        """Return a proof for one opening handshake."""
+        nonce = os.urandom(12).hex()
+        moment = str(int(self._clock.read_wall()))
+        return f"{moment}.{nonce}.{self._sign('open', moment, nonce)}"
+
+    def check_proof(self, proof):
+        """Tell whether a proof is genuine, fresh and not used before."""
+        parts = proof.split(".")
+        if len(parts) != 3 or not parts[0].isdigit():
+            return False
+        moment, nonce, signature = parts
+        expected = self._sign("open", moment, nonce)
+        if not hmac.compare_digest(expected.encode(), signature.encode()):
+            return False
+        now = self._clock.read_wall()
+        if abs(now - int(moment)) > PROOF_AGE_SECONDS or nonce in self._seen:
+            return False
+        self._remember(nonce, now)
+        return True
+
+    def make_answer(self, proof):
+        """Return the proof that the accepting side knows the secret."""
+        return self._sign("accept", proof)
+
+    def _sign(self, *parts):
+        text = "|".join(parts).encode()
+        return hmac.new(self._secret, text, hashlib.sha256).hexdigest()
+
+    def _remember(self, nonce, now):
+        self._seen[nonce] = now
+        while self._seen:
+            oldest = next(iter(self._seen))
+            if now - self._seen[oldest] <= 2 * PROOF_AGE_SECONDS:
+                break
+            self._seen.pop(oldest, None)
+
+
+def open_link(address, authenticator, timeout):
+    """Connect to another node.
+
+    Args:
+        address: "host:port" of the other node's links.
+        authenticator: Authenticator with the shared secret.
+        timeout: Seconds allowed in all.
+
+    Returns:
+        An open Link.
+
+    Raises:
+        LinkError: The other node can't be reached in time.
+        LinkRefused: It did not accept the handshake.
+    """
+    deadline = time.monotonic() + timeout
+    host, _, port = address.rpartition(":")
+    try:
+        sock = socket.create_connection((host, int(port)), timeout)
+    except (OSError, ValueError) as error:
+        raise LinkError(f"{address}: {error}") from None
+    tune_socket(sock)
+    protocol = ClientProtocol(
+        parse_uri(f"ws://{address}/link"), max_size=MAX_FRAME_BYTES
+    )
+    link = Link(sock, protocol, address)
+    request = protocol.connect()
+    proof = authenticator.make_proof()
+    request.headers[PROOF_HEADER] = proof
+    protocol.send_request(request)
+    link._flush(timeout)
+    while protocol.state is State.CONNECTING:
+        if protocol.handshake_exc is not None:
+            break
+        try:
+            link._read(max(deadline - time.monotonic(), 0.001))
+        except LinkError:
+            link.abort()
+            raise
+    if protocol.state is not State.OPEN or not link._inbox:
+        link.abort()
+        raise LinkRefused(f"{address}: did not accept the handshake")
+    response = link._inbox.popleft()
+    answer = response.headers.get(PROOF_HEADER, "")
+    expected = authenticator.make_answer(proof)
+    if not hmac.compare_digest(answer.encode(), expected.encode()):
+        link.abort()
+        raise LinkRefused(f"{address}: does not know the shared secret")
+    return link
+
+
+def accept_link(sock, remote, authenticator, timeout):
+    """Do the opening handshake of an accepted connection.
+
+    Args:
+        sock: The accepted socket.
+        remote: Its other side as "host:port".
+        authenticator: Authenticator with the shared secret.
+        timeout: Seconds allowed in all.
+
+    Returns:
+        An open Link.
+
+    Raises:
+        LinkError: The other side is no node or does not know the secret.
+    """
+    deadline = time.monotonic() + timeout
+    tune_socket(sock)
+    protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
+    link = Link(sock, protocol, remote)
+    while not link._inbox:
+        if protocol.handshake_exc is not None:
+            link.abort()
+            raise LinkRefused(f"{remote}: no opening handshake")
+        try:
+            link._read(max(deadline - time.monotonic(), 0.001))
+        except LinkError:
+            link.abort()
+            raise
+    request = link._inbox.popleft()
+    proof = request.headers.get(PROOF_HEADER, "")
+    if not authenticator.check_proof(proof):
+        protocol.send_response(protocol.reject(403, "proof missing or wrong\n"))
+        link._flush(timeout)
+        link.abort()
+        raise LinkRefused(f"{remote}: proof missing or wrong")
+    response = protocol.accept(request)
+    response.headers[PROOF_HEADER] = authenticator.make_answer(proof)
+    protocol.send_response(response)
+    link._flush(timeout)
+    if protocol.state is not State.OPEN:
+        link.abort()
+        raise LinkRefused(f"{remote}: no WebSocket handshake")
+    return link
+
+
+def tune_socket(sock):
+    """Set the options that every connection of the data path uses."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/logs.py
@@ -0,0 +1,41 @@
+"""Structured logs."""
+
+import logging
+import sys
+
+import structlog
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def configure_logs(form, level, stream=None):
+    """Set up structlog for the whole process.
+
+    Args:
+        form: "json" for one JSON object a line, "console" for people.
+        level: Lowest level that is printed, one of LEVELS.
+        stream: Text file to print to; standard error by default.
+    """
+    if form == "json":
+        renderer = structlog.processors.JSONRenderer()
+    else:
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def find_logger(name):
+    """Return the logger of a module or service."""
+    return structlog.get_logger(component=name)
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -0,0 +1,289 @@
+"""Typed messages between nodes and their encoding in CBOR."""
+
+import cbor2
+
+from godwitrack.exceptions import MessageError
+
+
+class Message:
+    """Base of all messages.
+
+    Subclasses list their fields in FIELDS as pairs of name and accepted types; a
+    message travels as a CBOR array of its TAG and its fields in that order.
+    """
+
+    __slots__ = ()
+    TAG = 0
+    FIELDS = ()
+
+    def __init__(self, *values, **named):
+        for (name, _), value in zip(self.FIELDS, values, strict=False):
+            setattr(self, name, value)
+        for name, value in named.items():
+            setattr(self, name, value)
+
+    def encode(self):
+        """Return the message as bytes."""
+        return cbor2.dumps(
+            [self.TAG, *[getattr(self, name) for name, _ in self.FIELDS]]
+        )
+
+    def __repr__(self):
+        fields = ", ".join(
+            f"{name}={getattr(self, name, None)!r:.60}" for name, _ in self.FIELDS
+        )
+        return f"{type(self).__name__}({fields})"
+
+
+class Load:
+    """Load of a backend server as its own node counts it.
+
+    Attributes:
+        in_flight: Requests running.
+        queued: Requests waiting.
+        limit: Most requests that may run at once now.
+        revision: Revision of the configuration in force at the node.
+    """
+
+    __slots__ = ("in_flight", "limit", "queued", "revision")
+
+    def __init__(self, in_flight, queued, limit, revision):
+        self.in_flight = in_flight
+        self.queued = queued
+        self.limit = limit
+        self.revision = revision
+
+    def to_data(self):
+        """Return the load as plain data."""
+        return [self.in_flight, self.queued, self.limit, self.revision]
+
+    @classmethod
+    def from_data(cls, data):
+        """Return the Load held by plain data.
+
+        Raises:
+            MessageError: The data has another shape.
+        """
+        if len(data) != 4 or any(type(item) is not int for item in data):
+            raise MessageError("a load has four whole numbers")
+        return cls(*data)
+
+
+class Call(Message):
+    """A request sent to the node beside a backend server."""
+
+    TAG = 1
+    FIELDS = (
+        ("request_id", str),
+        ("incarnation", int),
+        ("revision", int),
+        ("customer", str),
+        ("request_class", str),
+        ("service", str),
+        ("method", str),
+        ("path", str),
+        ("headers", list),
+        ("idempotent", bool),
+        ("regions", list),
+        ("deadline_ms", float),
+        ("depth", int),
+        ("retries_left", int),
+        ("length", int),
+        ("body", bytes),
+        ("more", bool),
+    )
+    __slots__ = tuple(name for name, _ in FIELDS)
+
+
+class Chunk(Message):
+    """A further part of a body."""
+
+    TAG = 2
+    FIELDS = (("data", bytes), ("more", bool))
+    __slots__ = ("data", "more")
+
+
+class Refused(Message):
+    """An error answer in place of the backend server's."""
+
+    TAG = 3
+    FIELDS = (("kind", str), ("detail", str), ("load", list))
+    __slots__ = ("detail", "kind", "load")
+
+
+class Answer(Message):
+    """The head of the backend server's answer, with the first part of the body."""
+
+    TAG = 4
+    FIELDS = (
+        ("request_id", str),
+        ("status", int),
+        ("headers", list),
+        ("load", list),
+        ("length", int),
+        ("body", bytes),
+        ("more", bool),
+    )
+    __slots__ = tuple(name for name, _ in FIELDS)
+
+
+class Query(Message):
+    """Asks what became of a request, and fences it if it did not start."""
+
+    TAG = 5
+    FIELDS = (("request_id", str), ("incarnation", int))
+    __slots__ = ("incarnation", "request_id")
+
+
+class Outcome(Message):
+    """What became of a request: an OutcomeState by name, with a kept answer."""
+
+    TAG = 6
+    FIELDS = (("state", str), ("status", int), ("headers", list), ("body", bytes))
+    __slots__ = ("body", "headers", "state", "status")
+
+
+class Ping(Message):
+    """A heartbeat, which carries news of the directory and the configuration."""
+
+    TAG = 7
+    FIELDS = (
+        ("sender", str),
+        ("incarnation", int),
+        ("digest", int),
+        ("revision", int),
+        ("records", list),
+    )
+    __slots__ = ("digest", "incarnation", "records", "revision", "sender")
+
+
+class Pong(Ping):
+    """The answer to a heartbeat, with the same content from the other side."""
+
+    TAG = 8
+    __slots__ = ()
+
+
+class DigestRequest(Message):
+    """Sends the digest of each bucket of the directory, to get what differs."""
+
+    TAG = 9
+    FIELDS = (("digests", list),)
+    __slots__ = ("digests",)
+
+
+class Records(Message):
+    """Records of the directory in the buckets that differ."""
+
+    TAG = 10
+    FIELDS = (("buckets", list), ("records", list))
+    __slots__ = ("buckets", "records")
+
+
+class ChangesRequest(Message):
+    """Asks for the changes of the configuration after a revision."""
+
+    TAG = 11
+    FIELDS = (("after", int),)
+    __slots__ = ("after",)
+
+
+class Changes(Message):
+    """Changes in order, or a whole configuration where the log is too short.
+
+    The field `snapshot` is empty, or holds one pair of revision and records.
+    """
+
+    TAG = 12
+    FIELDS = (("changes", list), ("snapshot", list))
+    __slots__ = ("changes", "snapshot")
+
+
+class Probe(Message):
+    """Asks a node to send a heartbeat to a third one."""
+
+    TAG = 13
+    FIELDS = (("address", str),)
+    __slots__ = ("address",)
+
+
+class ProbeResult(Message):
+    """Tells whether the third node answered."""
+
+    TAG = 14
+    FIELDS = (("alive", bool),)
+    __slots__ = ("alive",)
+
+
+class Proceed(Message):
+    """Tells the sender of a request that the rest of its body may follow."""
+
+    TAG = 15
+    __slots__ = ()
+
+
+MESSAGES = {
+    message.TAG: message
+    for message in (
+        Call,
+        Chunk,
+        Refused,
+        Answer,
+        Query,
+        Outcome,
+        Ping,
+        Pong,
+        DigestRequest,
+        Records,
+        ChangesRequest,
+        Changes,
+        Probe,
+        ProbeResult,
+        Proceed,
+    )
+}
+
+
+def decode_message(data):
+    """Return the message held by bytes.
+
+    Args:
+        data: One CBOR array, as made by Message.encode.
+
+    Raises:
+        MessageError: The bytes are not CBOR, or no message of a known type.
+    """
+    try:
+        values = cbor2.loads(data)
+    except Exception as error:
+        # The decoder raises many types for bad input, MemoryError among them.
+        raise MessageError(f"not CBOR: {type(error).__name__}") from None
+    if type(values) is not list or not values or type(values[0]) is not int:
+        raise MessageError("not an array that starts with a tag")
+    kind = MESSAGES.get(values[0])
+    if kind is None:
+        raise MessageError(f"unknown tag {values[0]}")
+    fields = kind.FIELDS
+    if len(values) != len(fields) + 1:
+        raise MessageError(f"{kind.__name__} has {len(fields)} fields")
+    for (name, accepted), value in zip(fields, values[1:], strict=True):
+        if type(value) is not accepted:
+            raise MessageError(f"{kind.__name__}.{name} is no {accepted.__name__}")
+    return kind(*values[1:])
+
+
+def check_headers(headers):
+    """Check that plain data is a list of pairs of texts, and return it.
+
+    Raises:
+        MessageError: It is not.
+    """
+    for item in headers:
+        if (
+            type(item) is not list
+            or len(item) != 2
+            or type(item[0]) is not str
+            or type(item[1]) is not str
+        ):
+            raise MessageError("headers are pairs of texts")
+    return headers
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/settings.py
@@ -0,0 +1,351 @@
+"""Settings of a node, read from YAML and checked against one table of options."""
+
+import re
+
+import yaml
+
+from godwitrack.exceptions import SettingsError
+
+REQUIRED = object()
+
+NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}$")
+
+
+class Option:
+    """One setting: where it stands, what it accepts and what it means.
+
+    Attributes:
+        path: Dotted path in the settings file, for example "listen.callers".
+        parse: Function from the YAML value to the setting; raises ValueError with
+            what was expected.
+        default: Value when the file leaves it out, or REQUIRED.
+        text: One sentence for the settings reference, with the unit.
+    """
+
+    __slots__ = ("default", "parse", "path", "text")
+
+    def __init__(self, path, parse, default, text):
+        self.path = path
+        self.parse = parse
+        self.default = default
+        self.text = text
+
+
+class Address:
+    """An IP number and a port.
+
+    Attributes:
+        host: IP number.
+        port: TCP port; 0 lets the machine choose where a socket is bound.
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = port
+
+    @classmethod
+    def parse(cls, value):
+        """Return the Address written as "host:port".
+
+        Raises:
+            ValueError: The text is not an IP number and a port.
+        """
+        match = re.fullmatch(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})", str(value))
+        if not match or int(match[2]) > 65535:
+            raise ValueError('expected an IP number and a port, like "127.0.0.1:8080"')
+        if any(int(part) > 255 for part in match[1].split(".")):
+            raise ValueError('expected an IP number and a port, like "127.0.0.1:8080"')
+        return cls(match[1], int(match[2]))
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+    def __eq__(self, other):
+        return isinstance(other, Address) and str(self) == str(other)
+
+    def __hash__(self):
+        return hash((self.host, self.port))
+
+
+def _text(value):
+    if not isinstance(value, str) or not value:
+        raise ValueError("expected a text that is not empty")
+    return value
+
+
+def _name(value):
+    if not isinstance(value, str) or not NAME_PATTERN.match(value):
+        raise ValueError("expected lower-case letters, digits, dots and hyphens")
+    return value
+
+
+def _secret(value):
+    if len(_text(value)) < 16:
+        raise ValueError("expected at least 16 characters")
+    return value
+
+
+def _choice(*names):
+    def parse(value):
+        if value not in names:
+            raise ValueError(f"expected one of {', '.join(names)}")
+        return value
+
+    return parse
+
+
+def _integer(low, high):
+    def parse(value):
+        if type(value) is not int or not low <= value <= high:
+            raise ValueError(f"expected a whole number from {low} to {high}")
+        return value
+
+    return parse
+
+
+def _number(low, high):
+    def parse(value):
+        if type(value) not in (int, float) or not low <= value <= high:
+            raise ValueError(f"expected a number from {low} to {high}")
+        return float(value)
+
+    return parse
+
+
+def _addresses(value):
+    if not isinstance(value, list):
+        raise ValueError('expected a list of "host:port"')
+    return tuple(Address.parse(item) for item in value)
+
+
+def _url(value):
+    if not re.match(r"^https?://[^/\s]+$", str(value)):
+        raise ValueError('expected a URL like "http://10.0.0.5:7000"')
+    return value
+
+
+OPTIONS = (
+    Option(
+        "node.name", _name, REQUIRED, "Name of the backend server, unique for ever."
+    ),
+    Option("node.service", _name, REQUIRED, "Service that the backend server runs."),
+    Option("node.region", _name, REQUIRED, "Region of the VM."),
+    Option("node.data_centre", _name, REQUIRED, "Data centre of the VM."),
+    Option("listen.callers", Address.parse, REQUIRED, "Where callers are served."),
+    Option("listen.operators", Address.parse, REQUIRED, "Where operators are served."),
+    Option("listen.links", Address.parse, REQUIRED, "Where other nodes connect."),
+    Option("backend.address", Address.parse, REQUIRED, "The backend server."),
+    Option(
+        "backend.connections",
+        _integer(1, 10_000),
+        260,
+        "Most connections to the backend server, idle and busy.",
+    ),
+    Option(
+        "backend.cold_slots",
+        _integer(1, 1000),
+        1,
+        "Most requests at once that a backend server in a cold start bears.",
+    ),
+    Option("operators.token", _secret, REQUIRED, "Token that operators must show."),
+    Option("links.secret", _secret, REQUIRED, "Secret shared by all nodes."),
+    Option(
+        "links.connect_timeout_ms",
+        _integer(1, 60_000),
+        500,
+        "Time allowed to open a link, in ms.",
+    ),
+    Option(
+        "links.silence_ms",
+        _integer(10, 60_000),
+        500,
+        "Silence on a busy link after which the other node is asked, in ms.",
+    ),
+    Option("peers.seeds", _addresses, (), "Links of a few nodes to join through."),
+    Option(
+        "peers.ping_interval_ms",
+        _integer(50, 60_000),
+        1000,
+        "Time between heartbeats to a peer, in ms.",
+    ),
+    Option(
+        "peers.silent_after",
+        _integer(1, 100),
+        3,
+        "Heartbeats missed in a row before a peer counts as silent.",
+    ),
+    Option(
+        "peers.control_bytes_per_second",
+        _integer(500, 1_000_000),
+        6000,
+        "Most control bytes that the node sends each second.",
+    ),
+    Option(
+        "platform.tables", _url, REQUIRED, "URL of the transactional table service."
+    ),
+    Option("platform.objects", _url, REQUIRED, "URL of the object store."),
+    Option(
+        "platform.timeout_ms",
+        _integer(10, 60_000),
+        2000,
+        "Time allowed for one call to the platform, in ms.",
+    ),
+    Option(
+        "platform.fleet_reads_per_second",
+        _number(0.1, 1000),
+        20.0,
+        "Reads of the configuration's revision by all nodes together each second.",
+    ),
+    Option(
+        "requests.max_body_bytes",
+        _integer(0, 2**40),
+        2**30,
+        "Largest request body, in bytes.",
+    ),
+    Option(
+        "requests.default_deadline_ms",
+        _integer(1, 600_000),
+        10_000,
+        "Deadline of a request that names none, in ms.",
+    ),
+    Option(
+        "requests.max_deadline_ms",
+        _integer(1, 600_000),
+        300_000,
+        "Longest deadline that a caller may ask for, in ms.",
+    ),
+    Option(
+        "requests.max_depth",
+        _integer(1, 100),
+        17,
+        "Longest chain of calls, counted from the first caller.",
+    ),
+    Option(
+        "requests.connections",
+        _integer(1, 10_000),
+        512,
+        "Most callers' connections at once.",
+    ),
+    Option("logs.form", _choice("json", "console"), "json", "Form of the log lines."),
+    Option(
+        "logs.level",
+        _choice("debug", "info", "warning", "error"),
+        "info",
+        "Lowest level that is logged.",
+    ),
+    Option(
+        "logs.request_share",
+        _number(0, 1),
+        0.01,
+        "Share of requests written to the request log, from 0 to 1.",
+    ),
+    Option(
+        "stop.timeout_ms",
+        _integer(0, 3_600_000),
+        60_000,
+        "Time allowed for requests in flight when the node stops, in ms.",
+    ),
+    Option(
+        "stop.notice_ms",
+        _integer(0, 60_000),
+        1500,
+        "Time between leaving the directory and refusing new work, in ms.",
+    ),
+)
+
+
+class Settings:
+    """Checked settings.
+
+    Attributes:
+        source: Path of the file, for messages.
+    """
+
+    __slots__ = ("_values", "source")
+
+    def __init__(self, values, source="settings"):
+        """Check a nested mapping against OPTIONS.
+
+        Args:
+            values: Mapping of sections, as read from YAML.
+            source: Name used in error messages.
+
+        Raises:
+            SettingsError: A key is unknown, missing or has a wrong value.
+        """
+        self.source = source
+        self._values = {}
+        found = _flatten(values, source)
+        for option in OPTIONS:
+            self._values[option.path] = _read_option(option, found, source)
+        if found:
+            raise SettingsError(f"{source}: {min(found)}: unknown key")
+
+    def get(self, path):
+        """Return the setting at a dotted path.
+
+        Args:
+            path: A path that stands in OPTIONS.
+        """
+        return self._values[path]
+
+    def get_seconds(self, path):
+        """Return a setting that is given in milliseconds, in seconds."""
+        return self._values[path] / 1000.0
+
+
+def load_settings(path):
+    """Return the Settings in a YAML file.
+
+    Raises:
+        SettingsError: The file can't be read, is not YAML or holds a wrong value.
+    """
+    return Settings(read_yaml(path), str(path))
+
+
+def read_yaml(path):
+    """Return the content of a YAML file.
+
+    Raises:
+        SettingsError: The file can't be read or is not YAML.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            return yaml.safe_load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise SettingsError(f"{path}: can't be read: not UTF-8") from None
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = f" line {mark.line + 1}:" if mark else ""
+        problem = getattr(error, "problem", None) or "not YAML"
+        raise SettingsError(f"{path}:{line} not YAML: {problem}") from None
+
+
+def _flatten(values, source):
+    if not isinstance(values, dict):
+        raise SettingsError(f"{source}: expected a mapping of sections")
+    found = {}
+    for section, body in values.items():
+        if not isinstance(body, dict):
+            raise SettingsError(f"{source}: {section}: expected a mapping of keys")
+        for key, value in body.items():
+            found[f"{section}.{key}"] = value
+    return found
+
+
+def _read_option(option, found, source):
+    if option.path not in found:
+        if option.default is REQUIRED:
+            raise SettingsError(f"{source}: {option.path}: missing")
+        return option.default
+    value = found.pop(option.path)
+    try:
+        return option.parse(value)
+    except ValueError as error:
+        raise SettingsError(
+            f"{source}: {option.path}: {error}, not {value!r}"
+        ) from None
--- /dev/null
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -0,0 +1,191 @@
+"""Clients of the platform's transactional table service and object store."""
+
+import abc
+import io
+import json
+import threading
+from urllib.parse import quote, urlencode
+
+import pycurl
+
+from godwitrack.exceptions import ConflictError, StoreError
+
+
+class Row:
+    """One row of a table.
+
+    Attributes:
+        key: Key of the row.
+        version: Version given by the service; 0 stands for a missing row.
+        value: Plain data, or None for a missing row.
+    """
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key, version, value):
+        self.key = key
+        self.version = version
+        self.value = value
+
+
+class TableService(abc.ABC):
+    """A transactional table service."""
+
+    @abc.abstractmethod
+    def read_row(self, table, key):
+        """Return the Row of a key; its version is 0 where there is none.
+
+        Raises:
+            StoreError: The service gave no usable answer.
+        """
+
+    @abc.abstractmethod
+    def read_rows(self, table, after, limit):
+        """Return Rows in the order of their keys.
+
+        Args:
+            table: Name of the table.
+            after: Only keys greater than this text.
+            limit: Most rows returned.
+
+        Raises:
+            StoreError: The service gave no usable answer.
+        """
+
+    @abc.abstractmethod
+    def commit(self, table, checks, writes):
+        """Write rows, all or none.
+
+        Args:
+            table: Name of the table.
+            checks: Mapping from key to the version it must have; 0 for missing.
+            writes: Mapping from key to value, or None to remove the row.
+
+        Raises:
+            ConflictError: A check did not hold; nothing was written.
+            StoreError: No usable answer came; the rows may have been written.
+        """
+
+
+class ObjectStore(abc.ABC):
+    """An object store."""
+
+    @abc.abstractmethod
+    def read_object(self, name):
+        """Return an object's bytes, or None where there is none.
+
+        Raises:
+            StoreError: The store gave no usable answer.
+        """
+
+    @abc.abstractmethod
+    def write_object(self, name, body):
+        """Write an object whole.
+
+        Raises:
+            StoreError: No usable answer came; it may have been written.
+        """
+
+
+class HttpClient:
+    """Sends HTTP requests with one reused handle for each thread."""
+
+    def __init__(self, timeout):
+        """Take the seconds allowed for one request."""
+        self._timeout_ms = max(int(timeout * 1000), 1)
+        self._local = threading.local()
+
+    def fetch(self, method, url, body=None, headers=()):
+        """Return the status and body of an answer.
+
+        Args:
+            method: HTTP method.
+            url: Whole URL.
+            body: Bytes to send, or None.
+            headers: Header lines to send.
+
+        Raises:
+            StoreError: The request failed on the way.
+        """
+        handle = getattr(self._local, "handle", None)
+        if handle is None:
+            handle = self._local.handle = pycurl.Curl()
+        handle.reset()
+        handle.setopt(pycurl.URL, url)
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+        handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.HTTPHEADER, ["Expect:", *headers])
+        if body is not None:
+            handle.setopt(pycurl.POSTFIELDS, body)
+        sink = io.BytesIO()
+        handle.setopt(pycurl.WRITEDATA, sink)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            raise StoreError(f"{method} {url}: {error.args[1]}") from None
+        return handle.getinfo(pycurl.RESPONSE_CODE), sink.getvalue()
+
+
+class HttpTableService(TableService):
+    """The table service over its HTTP interface, as docs/PLATFORM.md gives it."""
+
+    def __init__(self, url, timeout):
+        self._url = url
+        self._client = HttpClient(timeout)
+
+    def read_row(self, table, key):
+        """Return the Row of a key."""
+        url = f"{self._url}/tables/{quote(table)}/rows/{quote(key, safe='')}"
+        data = self._fetch("GET", url)
+        return Row(key, data["version"], data["value"])
+
+    def read_rows(self, table, after, limit):
+        """Return Rows in the order of their keys."""
+        query = urlencode({"after": after, "limit": limit})
+        data = self._fetch("GET", f"{self._url}/tables/{quote(table)}/rows?{query}")
+        return [Row(item["key"], item["version"], item["value"]) for item in data]
+
+    def commit(self, table, checks, writes):
+        """Write rows, all or none."""
+        url = f"{self._url}/tables/{quote(table)}/transactions"
+        self._fetch("POST", url, {"checks": checks, "writes": writes})
+
+    def _fetch(self, method, url, body=None):
+        data = None if body is None else json.dumps(body).encode()
+        status, answer = self._client.fetch(method, url, data)
+        try:
+            parsed = json.loads(answer)
+        except ValueError:
+            raise StoreError(f"{method} {url}: status {status}, not JSON") from None
+        if status == 409:
+            raise ConflictError(parsed["conflicts"])
+        if status != 200:
+            raise StoreError(f"{method} {url}: status {status}")
+        return parsed
+
+
+class HttpObjectStore(ObjectStore):
+    """The object store over its HTTP interface, as docs/PLATFORM.md gives it."""
+
+    def __init__(self, url, timeout):
+        self._url = url
+        self._client = HttpClient(timeout)
+
+    def read_object(self, name):
+        """Return an object's bytes, or None where there is none."""
+        url = f"{self._url}/objects/{quote(name, safe='')}"
+        status, body = self._client.fetch("GET", url)
+        if status == 404:
+            return None
+        if status != 200:
+            raise StoreError(f"GET {url}: status {status}")
+        return body
+
+    def write_object(self, name, body):
+        """Write an object whole."""
+        url = f"{self._url}/objects/{quote(name, safe='')}"
+        status, _ = self._client.fetch("PUT", url, body)
+        if status != 200:
+            raise StoreError(f"PUT {url}: status {status}")
--- /dev/null
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""godwitrack, the operators' command-line client."""
--- /dev/null
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
@@ -0,0 +1,181 @@
+"""The command line of the operators' client."""
+
+import os
+import sys
+
+from absl import flags
+
+from godwitrack.exceptions import GodwitrackError, SettingsError
+from godwitrack_ctl.client import NodeClient
+from godwitrack_ctl.commands import EXIT_FAILED, Commands
+
+EXIT_USAGE = 2
+NODE_VARIABLE = "GODWITRACK_NODE"
+TOKEN_VARIABLE = "GODWITRACK_TOKEN"
+DEFAULT_NODE = "127.0.0.1:9001"
+
+FLAGS = {
+    "node": ("string", None, f"Operators' port of any node; or ${NODE_VARIABLE}."),
+    "token_file": ("string", None, f"File with the token; or ${TOKEN_VARIABLE}."),
+    "json": ("bool", False, "Print JSON."),
+    "customers": ("string", None, "YAML file with the customers' plans."),
+    "plans": ("string", None, "YAML file with what each plan may use."),
+    "base": ("integer", None, "Revision that the change is based on."),
+    "wait": ("bool", False, "Wait until it is in force at every node."),
+    "author": ("string", None, "Name recorded with the change."),
+    "name": ("string", None, "Name of the data centre or backend server."),
+    "reason": ("string", "", "Reason, for other operators."),
+    "customer": ("string", None, "Name of the customer."),
+    "service": ("string", None, "Name of the service."),
+    "method": ("string", "GET", "HTTP method."),
+    "path": ("string", "/", "Path within the service."),
+}
+COMMON = ("node", "token_file", "json")
+
+
+class Command:
+    """One row of the table of subcommands.
+
+    Attributes:
+        method: Name of the method of Commands.
+        flags: Names of the flags it reads besides COMMON.
+        required: Names of the flags that must be given.
+        needs_node: Whether it asks a node.
+    """
+
+    __slots__ = ("flags", "method", "needs_node", "required")
+
+    def __init__(self, method, flags=(), required=(), needs_node=True):
+        self.method = method
+        self.flags = flags
+        self.required = required
+        self.needs_node = needs_node
+
+
+_LISTS = ("customers", "plans")
+_ORDER = ("name", "reason", "author", "wait")
+
+COMMANDS = {
+    "plans show": Command("show_plans"),
+    "plans check": Command("check_plans", _LISTS, _LISTS, needs_node=False),
+    "plans apply": Command("apply_plans", (*_LISTS, "base", "author", "wait"), _LISTS),
+    "data-centre list": Command("list_data_centres"),
+    "data-centre take-out": Command("take_out_data_centre", _ORDER, ("name",)),
+    "data-centre bring-back": Command("bring_back_data_centre", _ORDER, ("name",)),
+    "server list": Command("list_servers"),
+    "server take-out": Command("take_out_server", _ORDER, ("name",)),
+    "server bring-back": Command("bring_back_server", _ORDER, ("name",)),
+    "status": Command("show_status"),
+    "explain": Command(
+        "explain",
+        ("customer", "service", "method", "path"),
+        ("customer", "service"),
+    ),
+}
+
+
+def run():
+    """Run the client and leave with its exit status."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def main(arguments):
+    """Run one subcommand.
+
+    Args:
+        arguments: Command line without the program's name.
+
+    Returns:
+        Exit status.
+    """
+    name, rest = _split_command(arguments)
+    if name is None:
+        is_help = arguments[:1] in (["--help"], ["help"], ["-h"])
+        print(_describe_all(), file=sys.stdout if is_help else sys.stderr)
+        return 0 if is_help else EXIT_USAGE
+    command = COMMANDS[name]
+    if "--help" in rest or "-h" in rest:
+        print(_describe(name, command))
+        return 0
+    try:
+        values = _parse(name, command, rest)
+        client = _make_client(values) if command.needs_node else None
+    except (flags.Error, SettingsError) as error:
+        print(f"godwitrack {name}: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    return _carry_out(name, command, values, client)
+
+
+def _carry_out(name, command, values, client):
+    commands = Commands(values, client)
+    try:
+        return getattr(commands, command.method)()
+    except SettingsError as error:
+        print(f"godwitrack {name}: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    except GodwitrackError as error:
+        print(f"godwitrack {name}: {error}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+def _split_command(arguments):
+    for count in (2, 1):
+        name = " ".join(arguments[:count])
+        if name in COMMANDS:
+            return name, arguments[count:]
+    return None, arguments
+
+
+def _parse(name, command, rest):
+    values = flags.FlagValues()
+    defines = {
+        "string": flags.DEFINE_string,
+        "bool": flags.DEFINE_bool,
+        "integer": flags.DEFINE_integer,
+    }
+    for flag in (*COMMON, *command.flags):
+        kind, default, text = FLAGS[flag]
+        defines[kind](flag, default, text, flag_values=values)
+    extra = values([name, *rest])[1:]
+    if extra and "name" in command.flags and values.name is None:
+        values.name = extra.pop(0)
+    if extra:
+        raise flags.Error(f"unexpected {extra[0]!r}")
+    for flag in command.required:
+        if getattr(values, flag) is None:
+            raise flags.Error(f"--{flag} is missing")
+    return values
+
+
+def _make_client(values):
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    if values.token_file:
+        try:
+            with open(values.token_file, encoding="utf-8") as file:
+                token = file.read().strip()
+        except OSError as error:
+            raise SettingsError(
+                f"{values.token_file}: can't be read: {error.strerror}"
+            ) from None
+    address = values.node or os.environ.get(NODE_VARIABLE, DEFAULT_NODE)
+    return NodeClient(address, token)
+
+
+def _describe_all():
+    lines = ["usage: godwitrack COMMAND [flags]", ""]
+    width = max(map(len, COMMANDS))
+    for name, command in COMMANDS.items():
+        text = getattr(Commands, command.method).__doc__.partition("\n")[0]
+        lines.append(f"  {name.ljust(width)}  {text}")
+    lines.append("")
+    lines.append("godwitrack COMMAND --help lists the flags of a command.")
+    return "\n".join(lines)
+
+
+def _describe(name, command):
+    text = getattr(Commands, command.method).__doc__.partition("\n")[0]
+    lines = [f"usage: godwitrack {name} [flags]", "", text, ""]
+    for flag in (*command.flags, *COMMON):
+        note = " Required." if flag in command.required else ""
+        lines.append(f"  --{flag}  {FLAGS[flag][2]}{note}")
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
@@ -0,0 +1,286 @@
+"""The subcommands of the operators' client."""
+
+import getpass
+import json
+import time
+import uuid
+
+from godwitrack.configuration import find_differences
+from godwitrack.exceptions import GodwitrackError, StoreError
+from godwitrack.plans import read_lists
+from godwitrack_ctl.client import NodeRefused
+from godwitrack_ctl.printing import format_differences, format_table
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+LIST_SORTS = ("plan", "customer")
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.5
+RESEND_SECONDS = 20.0
+
+
+class Commands:
+    """Carries out subcommands; each method returns an exit status.
+
+    Attributes:
+        values: Parsed flags.
+        client: NodeClient, or None for commands that need no node.
+        write: Function that prints one text.
+    """
+
+    def __init__(self, values, client, write=print):
+        self.values = values
+        self.client = client
+        self.write = write
+
+    def show_plans(self):
+        """Show the two lists in force, with their revision."""
+        data = self.client.get("/configuration")
+        if self.values.json:
+            return self._write_json(data)
+        self.write(f"revision {data['revision']}")
+        for key, record in sorted(data["records"].items()):
+            self.write(f"{key}: {json.dumps(record, sort_keys=True)}")
+        return EXIT_DONE
+
+    def check_plans(self):
+        """Check the two lists in files; nothing is changed."""
+        records = self._read_lists()
+        if self.values.json:
+            return self._write_json({"records": len(records), "good": True})
+        self.write(f"{len(records)} records, good")
+        return EXIT_DONE
+
+    def apply_plans(self):
+        """Put the two lists in files in force, if none changed meanwhile."""
+        new = self._read_lists()
+        current = self.client.get("/configuration")
+        base = self.values.base
+        if base is None:
+            base = current["revision"]
+        old = current["records"]
+        records = find_differences(old, new, LIST_SORTS)
+        if base != current["revision"]:
+            return self._report_lost_race(base, current["revision"], old, records)
+        if not self.values.json:
+            self.write(format_differences(old, records))
+        if not records:
+            return self._report_revision(base)
+        change = {
+            "base": base,
+            "records": records,
+            "author": self._find_author(),
+            "change_id": uuid.uuid4().hex,
+        }
+        try:
+            answer = self._send_change(change)
+        except NodeRefused as error:
+            if error.status != 409:
+                raise
+            latest = self.client.get("/configuration")
+            records = find_differences(latest["records"], new, LIST_SORTS)
+            return self._report_lost_race(
+                base, latest["revision"], latest["records"], records
+            )
+        return self._report_revision(answer["revision"])
+
+    def list_data_centres(self):
+        """List data centres with their servers by state."""
+        data = self.client.get("/status")
+        rows = data["data_centres"]
+        if self.values.json:
+            return self._write_json({"data_centres": rows, "out": _list_out(data)})
+        self.write(
+            format_table(
+                ("REGION", "DATA CENTRE", "STATE", "SERVERS"),
+                [
+                    (row["region"], row["data_centre"], row["state"], row["servers"])
+                    for row in rows
+                ],
+            )
+        )
+        return EXIT_DONE
+
+    def take_out_data_centre(self):
+        """Take a data centre out of service."""
+        return self._order("data-centre", True)
+
+    def bring_back_data_centre(self):
+        """Bring a data centre back into service."""
+        return self._order("data-centre", False)
+
+    def list_servers(self):
+        """List backend servers."""
+        rows = self.client.get("/status")["servers"]
+        if self.values.json:
+            return self._write_json({"servers": rows})
+        columns = ("name", "service", "data_centre", "state", "slots", "address")
+        self.write(
+            format_table(
+                [name.upper().replace("_", " ") for name in columns],
+                [[row[name] for name in columns] for row in rows],
+            )
+        )
+        return EXIT_DONE
+
+    def take_out_server(self):
+        """Take a backend server out of service."""
+        return self._order("server", True)
+
+    def bring_back_server(self):
+        """Bring a backend server back into service."""
+        return self._order("server", False)
+
+    def show_status(self):
+        """Show the fleet at a glance."""
+        data = self.client.get("/status")
+        if self.values.json:
+            return self._write_json(data)
+        node = data["node"]
+        self.write(f"node {node['name']}, revision {data['revision']}")
+        self.write(f"out: {', '.join(_list_out(data)) or 'nothing'}")
+        pending = ", ".join(data["orders_pending"]) or "none"
+        self.write(f"orders not recorded yet: {pending}")
+        self.write(f"store failures in a row: {node['store_failures']}")
+        self.write(
+            f"load: {node['in_flight']} in flight, {node['queued']} queued, "
+            f"limit {node['limit']}"
+        )
+        sent = node["control_bytes_sent"]
+        self.write(
+            f"control bytes sent: {sent['local']} in the region, "
+            f"{sent['regional']} across regions"
+        )
+        self.write(f"retry budget: {node['retry_balance']}")
+        return self.list_data_centres()
+
+    def explain(self):
+        """Explain where a customer's request would go."""
+        data = self.client.get(
+            "/explanation",
+            customer=self.values.customer,
+            service=self.values.service,
+            method=self.values.method,
+            path=self.values.path,
+        )
+        if self.values.json:
+            return self._write_json(data)
+        if data["route"] is None:
+            self.write(f"plan {data['plan']} has no such route: not_allowed")
+            return EXIT_FAILED
+        route = ", ".join(f"{key} {value}" for key, value in data["route"].items())
+        self.write(f"plan {data['plan']}: {route}")
+        self.write(f"regions: {', '.join(data['regions'])}")
+        columns = ("tier", "server", "data_centre", "verdict", "use", "latency_ms")
+        self.write(
+            format_table(
+                [name.upper().replace("_", " ") for name in columns],
+                [[row[name] for name in columns] for row in data["servers"]],
+            )
+        )
+        return EXIT_DONE
+
+    def _read_lists(self):
+        return read_lists(self.values.customers, self.values.plans)
+
+    def _send_change(self, change):
+        """Send a change until the answer is certain.
+
+        The node recognises the change by its id, so that sending it again after a
+        lost answer never makes it twice.
+        """
+        deadline = time.monotonic() + RESEND_SECONDS
+        while True:
+            try:
+                return self.client.post("/changes", change)
+            except NodeRefused as error:
+                if error.status != 503 or error.data.get("nothing_written", True):
+                    raise
+                failure = error
+            except StoreError as error:
+                failure = error
+            if time.monotonic() > deadline:
+                raise GodwitrackError(
+                    f"{failure}; it is not known whether the change is in force: "
+                    "look with 'godwitrack plans show' before you try again"
+                )
+            time.sleep(POLL_SECONDS)
+
+    def _order(self, sort, is_out):
+        data = self.client.post(
+            "/orders",
+            {
+                "sort": sort,
+                "name": self.values.name,
+                "out": is_out,
+                "author": self._find_author(),
+                "reason": self.values.reason,
+            },
+        )
+        if not self.values.json:
+            word = "out" if is_out else "back"
+            self.write(f"{sort} {self.values.name} {word}: {data['detail']}")
+        if not data["recorded"]:
+            if self.values.json:
+                self._write_json(data)
+            return EXIT_DONE if data["noticed"] else EXIT_FAILED
+        return self._report_revision(data["revision"], data)
+
+    def _report_lost_race(self, base, current, old, records):
+        if self.values.json:
+            self._write_json(
+                {
+                    "error": "lost race",
+                    "base": base,
+                    "current": current,
+                    "difference": records,
+                }
+            )
+            return EXIT_FAILED
+        self.write(
+            f"refused: your change is based on revision {base}, but {current} is in "
+            "force. Against it, your lists would change:"
+        )
+        self.write(format_differences(old, records))
+        return EXIT_FAILED
+
+    def _report_revision(self, revision, data=None):
+        report = {"revision": revision, **(data or {})}
+        status = EXIT_DONE
+        if self.values.wait:
+            waiting = self._wait_in_force(revision)
+            report["not_in_force_at"] = waiting
+            status = EXIT_FAILED if waiting else EXIT_DONE
+        if self.values.json:
+            self._write_json(report)
+            return status
+        self.write(f"accepted: revision {revision}")
+        if self.values.wait:
+            where = ", ".join(report["not_in_force_at"])
+            self.write(f"not in force at: {where}" if where else "in force everywhere")
+        return status
+
+    def _wait_in_force(self, revision):
+        """Return the names of nodes that do not have a revision in time."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while True:
+            revisions = self.client.get("/revisions")
+            waiting = sorted(
+                name
+                for name, found in revisions.items()
+                if found is None or found < revision
+            )
+            if not waiting or time.monotonic() > deadline:
+                return waiting
+            time.sleep(POLL_SECONDS)
+
+    def _find_author(self):
+        return self.values.author or getpass.getuser()
+
+    def _write_json(self, data):
+        self.write(json.dumps(data, indent=2, sort_keys=True))
+        return EXIT_DONE
+
+
+def _list_out(data):
+    return [*data["data_centres_out"], *data["servers_out"]]
--- /dev/null
+++ b/packages/godwitrack_lab/src/godwitrack_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, scenarios and benches for developing godwitrack; not shipped."""
--- /dev/null
+++ b/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
@@ -0,0 +1,215 @@
+"""Fake backend servers, which count what they run and can be made to misbehave."""
+
+import collections
+import hashlib
+import json
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from absl import flags
+
+from godwitrack.exceptions import CallerGone, RequestError, StoreError
+from godwitrack.link import tune_socket
+from godwitrack.settings import Address
+from godwitrack.store import HttpClient
+from godwitrack_node.httpserver import ConnectionServer, HttpConnection
+
+OPERATION_HEADER = "x-operation"
+MAX_CONNECTIONS = 260
+COLD_FACTOR = 6.0
+
+
+class Behaviour:
+    """How a fake backend server behaves; may be changed at any time.
+
+    Attributes:
+        seconds: Service time of a request.
+        factor: Factor on the service time.
+        failing: Whether it answers 500 at once.
+        silent: Whether it reads requests and never answers.
+        cold: Whether it is in a cold start.
+        cold_slots: Most requests at once that it bears while cold.
+    """
+
+    __slots__ = ("cold", "cold_slots", "factor", "failing", "seconds", "silent")
+
+    def __init__(self, seconds=0.002, cold=False, cold_slots=1):
+        self.seconds = seconds
+        self.factor = 1.0
+        self.failing = False
+        self.silent = False
+        self.cold = cold
+        self.cold_slots = cold_slots
+
+
+class BackendServer:
+    """One fake backend server.
+
+    Attributes:
+        name: Name of the server.
+        behaviour: Behaviour.
+        runs: Mapping from a request's operation to the times it ran.
+        cold_overloads: Requests that came when cold and already full.
+        peak: Most requests at once.
+        last_started: Wall-clock time of the newest request.
+    """
+
+    def __init__(self, name, executor, address, behaviour=None):
+        self.name = name
+        self.behaviour = behaviour or Behaviour()
+        self.runs = collections.Counter()
+        self.cold_overloads = 0
+        self.peak = 0
+        self.served = 0
+        self.last_started = 0.0
+        self._active = 0
+        self._lock = threading.Lock()
+        self._server = ConnectionServer(executor, address, self._serve, MAX_CONNECTIONS)
+        self._server.start()
+
+    @property
+    def address(self):
+        """(host, port) where it listens."""
+        return self._server.address
+
+    def stop(self):
+        """Stop serving and close every connection."""
+        self._server.close()
+        self._server.interrupt()
+
+    def describe(self):
+        """Return what it counted as plain data."""
+        return {
+            "served": self.served,
+            "runs": dict(self.runs),
+            "cold_overloads": self.cold_overloads,
+            "peak": self.peak,
+            "last_started": self.last_started,
+        }
+
+    def _serve(self, sock, remote):
+        tune_socket(sock)
+        connection = HttpConnection(sock)
+        while True:
+            try:
+                request = connection.read_request()
+            except RequestError:
+                return
+            if request is None:
+                return
+            try:
+                self._answer(connection, request)
+            except (CallerGone, RequestError):
+                return
+
+    def _answer(self, connection, request):
+        digest, size = hashlib.sha256(), 0
+        while part := connection.read_body():
+            digest.update(part)
+            size += len(part)
+        operation = request.get(OPERATION_HEADER)
+        self._enter(operation)
+        try:
+            self._work()
+        finally:
+            with self._lock:
+                self._active -= 1
+        if self.behaviour.silent:
+            time.sleep(3600)
+        status = 500 if self.behaviour.failing else 200
+        body = self._make_body(request, operation, digest.hexdigest(), size)
+        headers = [("Content-Type", "application/json"), ("X-Server", self.name)]
+        connection.start_answer(status, headers, len(body), body)
+
+    def _enter(self, operation):
+        with self._lock:
+            behaviour = self.behaviour
+            if behaviour.cold and self._active >= behaviour.cold_slots:
+                self.cold_overloads += 1
+            self._active += 1
+            self.served += 1
+            self.peak = max(self.peak, self._active)
+            self.last_started = time.time()
+            if operation:
+                self.runs[operation] += 1
+
+    def _work(self):
+        behaviour = self.behaviour
+        if behaviour.failing:
+            return
+        seconds = behaviour.seconds * behaviour.factor
+        if behaviour.cold:
+            seconds *= COLD_FACTOR
+        if seconds > 0:
+            time.sleep(seconds)
+
+    def _make_body(self, request, operation, digest, size):
+        data = {
+            "operation": operation,
+            "path": request.target,
+            "sha256": digest,
+            "bytes": size,
+        }
+        if request.target.endswith("/large"):
+            data["padding"] = "x" * 300_000
+        return json.dumps(data).encode()
+
+
+def announce(operators, service, state, slots, timeout=5.0):
+    """Announce a backend server to its node.
+
+    Args:
+        operators: "host:port" of the node's operators' port.
+        service: Name of the service.
+        state: "cold", "warm" or "leaving".
+        slots: Most requests at once when warm.
+        timeout: Seconds allowed.
+
+    Returns:
+        Whether the node took it.
+    """
+    body = json.dumps({"service": service, "state": state, "slots": slots}).encode()
+    try:
+        status, _ = HttpClient(timeout).fetch(
+            "POST", f"http://{operators}/announcement", body
+        )
+    except StoreError:
+        return False
+    return status == 200
+
+
+def main(arguments):
+    """Run fake backend servers in one process until standard input ends.
+
+    The servers are read from standard input, one JSON object a line with `name`,
+    `port` and `seconds`; later lines are commands: `report` prints what the
+    servers counted, and an object with `name` and fields of Behaviour changes one.
+    """
+    flags.FlagValues()(arguments)
+    sys.setswitchinterval(0.0005)
+    executor = ThreadPoolExecutor(4000)
+    servers = {}
+    for line in sys.stdin:
+        if line.strip() == "report":
+            report = {name: server.describe() for name, server in servers.items()}
+            print(json.dumps(report), flush=True)
+            continue
+        data = json.loads(line)
+        name = data.pop("name")
+        if name not in servers:
+            address = Address("127.0.0.1", data.pop("port"))
+            servers[name] = BackendServer(
+                name, executor, address, Behaviour(data.pop("seconds", 0.002))
+            )
+        for key, value in data.items():
+            setattr(servers[name].behaviour, key, value)
+        print("ok", flush=True)
+    for server in servers.values():
+        server.stop()
+    executor.shutdown(wait=False, cancel_futures=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/__init__.py
@@ -0,0 +1,1 @@
+"""godwitrackd, the node beside each backend server."""
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -0,0 +1,352 @@
+"""Admission: which requests the backend server runs now, later or not at all."""
+
+import threading
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_node.warmup import WarmupCap
+
+QUEUE_FACTOR = 2
+RESERVE_SHARE = 0.15
+SERVICE_WEIGHT = 0.1
+INITIAL_SERVICE_SECONDS = 0.005
+ACTIVE_SECONDS = 1.0
+CAPACITY_SLACK = 1.25
+BURST_SECONDS = 1.0
+MIN_BURST = 4.0
+
+
+class Ticket:
+    """One request that asks to run.
+
+    Attributes:
+        customer: Name of the customer.
+        weight: Share that the customer buys; its plan's requests a second.
+        rank: Rank of the request's class, 0 for the most urgent.
+        deadline: Monotonic time in seconds after which it must not start.
+        granted_at: Monotonic time at which it was let through, or None.
+        refusal: RequestError if it was refused, or None.
+    """
+
+    __slots__ = (
+        "_decided",
+        "customer",
+        "deadline",
+        "granted_at",
+        "on_decision",
+        "rank",
+        "refusal",
+        "weight",
+    )
+
+    def __init__(self, customer, weight, rank, deadline, on_decision=None):
+        """Take the attributes and a function called once the ticket is decided.
+
+        Args:
+            customer: Name of the customer.
+            weight: Share that the customer buys.
+            rank: Rank of the request's class.
+            deadline: Monotonic time in seconds.
+            on_decision: Called with the ticket when it is granted or refused
+                after having waited; None lets `wait` be used.
+        """
+        self.customer = customer
+        self.weight = weight
+        self.rank = rank
+        self.deadline = deadline
+        self.granted_at = None
+        self.refusal = None
+        self._decided = None
+        self.on_decision = on_decision
+
+    @property
+    def is_decided(self):
+        """Whether the ticket was granted or refused."""
+        return self.granted_at is not None or self.refusal is not None
+
+    def prepare_wait(self):
+        """Make the ticket ready to be waited for."""
+        if self.on_decision is None:
+            self._decided = threading.Event()
+
+    def wait(self, timeout):
+        """Wait until the ticket is decided or some seconds have passed."""
+        self._decided.wait(timeout)
+
+    def decide(self):
+        """Tell whoever waits that the ticket is decided."""
+        if self.on_decision is not None:
+            self.on_decision(self)
+        elif self._decided is not None:
+            self._decided.set()
+
+
+class CustomerUse:
+    """What one customer uses of the backend server.
+
+    Attributes:
+        in_flight: Requests running.
+        weight: Share that the customer buys.
+        last_seen: Monotonic time of its newest request, in seconds.
+        tokens: Requests that it may still start at once under its plan.
+        filled_at: Monotonic time at which the tokens were counted, in seconds.
+    """
+
+    __slots__ = ("filled_at", "in_flight", "last_seen", "tokens", "weight")
+
+    def __init__(self, weight, tokens, now):
+        self.in_flight = 0
+        self.weight = weight
+        self.last_seen = now
+        self.tokens = tokens
+        self.filled_at = now
+
+
+class Admission:
+    """Decides about tickets; all methods may be called from any thread."""
+
+    def __init__(self, clock, slots, cold_slots):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._queue = []
+        self._uses = {}
+        self._in_flight = 0
+        self._service_seconds = INITIAL_SERVICE_SECONDS
+        self._is_draining = False
+        self._next_clean = 0.0
+        self.server_count = 1
+        self.warmup = WarmupCap(cold_slots, slots)
+
+    @property
+    def in_flight(self):
+        """Requests running at the backend server."""
+        return self._in_flight
+
+    @property
+    def queued(self):
+        """Requests waiting."""
+        return len(self._queue)
+
+    @property
+    def limit(self):
+        """Most requests that may run at once now."""
+        return self.warmup.cap
+
+    def announce(self, is_cold, slots):
+        """Take over what the backend server says of itself."""
+        with self._lock:
+            self.warmup.announce(is_cold, slots, self._clock.read_monotonic())
+
+    def drain(self):
+        """Refuse all new tickets and those that wait, as not run."""
+        with self._lock:
+            self._is_draining = True
+            waiting, self._queue = self._queue, []
+        for ticket in waiting:
+            self._refuse(ticket, ErrorKind.STOPPING)
+
+    def resume(self):
+        """Take new tickets again after drain."""
+        with self._lock:
+            self._is_draining = False
+
+    def offer(self, ticket):
+        """Decide about a new ticket, or let it wait.
+
+        The ticket is decided when this returns, unless it waits in the queue.
+
+        Raises:
+            RequestError: The ticket is refused; the request did not run.
+        """
+        now = self._clock.read_monotonic()
+        with self._lock:
+            self._check(ticket, now)
+            use = self._find_use(ticket, now)
+            self._take_token(use, now)
+            if not self._queue and self._may_start(use):
+                self._start(ticket, use, now)
+                return
+            evicted = self._enqueue(ticket, use, now)
+            ticket.prepare_wait()
+        if evicted is not None:
+            self._refuse(evicted, ErrorKind.SERVER_BUSY)
+
+    def cancel(self, ticket):
+        """Take a waiting ticket back.
+
+        Returns:
+            Whether it still waited; if not, it was decided meanwhile.
+        """
+        with self._lock:
+            if ticket in self._queue:
+                self._queue.remove(ticket)
+                return True
+            return False
+
+    def release(self, ticket, kind, is_failure):
+        """Give back a granted ticket and let waiting ones through.
+
+        Args:
+            ticket: A granted Ticket.
+            kind: Hashable that groups requests of like duration.
+            is_failure: Whether the backend server failed or gave no answer.
+        """
+        now = self._clock.read_monotonic()
+        with self._lock:
+            seconds = now - ticket.granted_at
+            self._in_flight -= 1
+            use = self._uses.get(ticket.customer)
+            if use is not None:
+                use.in_flight -= 1
+            self.warmup.record(kind, seconds, is_failure, now)
+            change = seconds - self._service_seconds
+            self._service_seconds += SERVICE_WEIGHT * change
+            expired = self._take_expired(now)
+            started = self._start_waiting(now)
+            self._clean(now)
+        for item in expired:
+            self._refuse(item, ErrorKind.DEADLINE_EXPIRED)
+        for item in started:
+            item.decide()
+
+    def acquire(self, ticket):
+        """Offer a ticket and wait until it is granted.
+
+        Raises:
+            RequestError: The ticket is refused; the request did not run.
+        """
+        self.offer(ticket)
+        if ticket.granted_at is not None:
+            return
+        while not ticket.is_decided:
+            remaining = ticket.deadline - self._clock.read_monotonic()
+            ticket.wait(max(remaining, 0.0))
+            if remaining <= 0 and self.cancel(ticket):
+                raise RequestError(ErrorKind.DEADLINE_EXPIRED)
+        if ticket.refusal is not None:
+            raise ticket.refusal
+
+    def _check(self, ticket, now):
+        if self._is_draining:
+            raise RequestError(ErrorKind.STOPPING)
+        if ticket.deadline <= now:
+            raise RequestError(ErrorKind.DEADLINE_EXPIRED)
+
+    def _find_use(self, ticket, now):
+        use = self._uses.get(ticket.customer)
+        if use is None:
+            burst = self._compute_burst(ticket.weight)
+            use = self._uses[ticket.customer] = CustomerUse(ticket.weight, burst, now)
+        use.weight = ticket.weight
+        use.last_seen = now
+        return use
+
+    def _compute_rate(self, weight):
+        return weight * CAPACITY_SLACK / max(self.server_count, 1)
+
+    def _compute_burst(self, weight):
+        return max(self._compute_rate(weight) * BURST_SECONDS, MIN_BURST)
+
+    def _take_token(self, use, now):
+        filled = use.tokens + (now - use.filled_at) * self._compute_rate(use.weight)
+        use.tokens = min(filled, self._compute_burst(use.weight))
+        use.filled_at = now
+        if use.tokens < 1.0:
+            raise RequestError(ErrorKind.OVER_CAPACITY)
+        use.tokens -= 1.0
+
+    def _may_start(self, use):
+        """Tell whether a customer may take one more slot.
+
+        Slots beyond a customer's share are lent to it, except for a small reserve
+        that the others find free at once.
+        """
+        free = self.warmup.cap - self._in_flight
+        if free <= 0:
+            return False
+        return use.in_flight < self._compute_share(use) or free > self._compute_reserve(
+            use
+        )
+
+    def _compute_share(self, use):
+        now = use.last_seen
+        total = sum(
+            item.weight
+            for item in self._uses.values()
+            if item.in_flight or now - item.last_seen < ACTIVE_SECONDS
+        )
+        return max(self.warmup.cap * use.weight / max(total, use.weight), 1.0)
+
+    def _compute_reserve(self, use):
+        others = any(item is not use for item in self._uses.values())
+        if not others or self.warmup.cap < 3:
+            return 0
+        return max(int(self.warmup.cap * RESERVE_SHARE), 1)
+
+    def _start(self, ticket, use, now):
+        ticket.granted_at = now
+        self._in_flight += 1
+        use.in_flight += 1
+
+    def _enqueue(self, ticket, use, now):
+        """Put a ticket in the queue and return the one it displaced, or None."""
+        places = max(self.warmup.cap * QUEUE_FACTOR, 2)
+        rounds = (len(self._queue) + 1) / max(self.warmup.cap, 1)
+        wait = rounds * self._service_seconds
+        if now + wait > ticket.deadline:
+            raise RequestError(ErrorKind.SERVER_BUSY, "the queue outlasts the deadline")
+        self._queue.append(ticket)
+        if len(self._queue) <= places:
+            return None
+        worst = max(self._queue, key=self._rate_waiting)
+        self._queue.remove(worst)
+        if worst is ticket:
+            raise RequestError(ErrorKind.SERVER_BUSY)
+        return worst
+
+    def _rate_waiting(self, ticket):
+        """Return the sort key of a waiting ticket; the lowest one goes first."""
+        use = self._uses[ticket.customer]
+        waiting = sum(item.customer == ticket.customer for item in self._queue)
+        return (ticket.rank, (use.in_flight + waiting) / use.weight, ticket.deadline)
+
+    def _take_expired(self, now):
+        expired = [ticket for ticket in self._queue if ticket.deadline <= now]
+        for ticket in expired:
+            self._queue.remove(ticket)
+        return expired
+
+    def _start_waiting(self, now):
+        started = []
+        while self._queue and self._in_flight < self.warmup.cap:
+            ranked = sorted(
+                self._queue,
+                key=lambda item: (
+                    item.rank,
+                    self._uses[item.customer].in_flight / item.weight,
+                    item.deadline,
+                ),
+            )
+            ticket = next(
+                (item for item in ranked if self._may_start(self._uses[item.customer])),
+                None,
+            )
+            if ticket is None:
+                break
+            self._queue.remove(ticket)
+            self._start(ticket, self._uses[ticket.customer], now)
+            started.append(ticket)
+        return started
+
+    def _clean(self, now):
+        if now < self._next_clean:
+            return
+        self._next_clean = now + ACTIVE_SECONDS
+        waiting = {ticket.customer for ticket in self._queue}
+        for name, use in list(self._uses.items()):
+            idle = now - use.last_seen > 10 * ACTIVE_SECONDS
+            if idle and not use.in_flight and name not in waiting:
+                del self._uses[name]
+
+    def _refuse(self, ticket, kind):
+        ticket.refusal = RequestError(kind)
+        ticket.decide()
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/backend.py
@@ -0,0 +1,251 @@
+"""Requests to the node's own backend server, by libcurl."""
+
+import threading
+
+import pycurl
+
+from godwitrack.exceptions import ErrorKind, RequestError
+
+MAX_IDLE_CONNECTION_SECONDS = 5
+CONNECT_TIMEOUT_MS = 1000
+
+# Failures after which it is certain that no byte of the request was sent.
+UNSENT_ERRORS = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_FAILED_INIT,
+        pycurl.E_URL_MALFORMAT,
+    )
+)
+
+
+class BackendRequest:
+    """A request for the backend server.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        headers: List of pairs of texts.
+        body: Whole body, or its first part.
+        length: Bytes of the whole body, or -1 if not known.
+        read_more: Function that returns further parts and empty bytes at the end,
+            or None where `body` is whole.
+        timeout: Seconds allowed.
+    """
+
+    __slots__ = (
+        "body",
+        "headers",
+        "length",
+        "method",
+        "path",
+        "read_more",
+        "timeout",
+    )
+
+    def __init__(self, method, path, headers, body, length, read_more, timeout):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.length = length
+        self.read_more = read_more
+        self.timeout = timeout
+
+
+class BackendClient:
+    """Sends requests with a bounded number of reused handles.
+
+    libcurl sends a request anew when a reused connection turns out to be dead,
+    whatever its method. Here that second sending is forbidden: what may be sent
+    again is decided where the plan is known.
+    """
+
+    def __init__(self, address, connections):
+        self._url = f"http://{address}"
+        self._lock = threading.Lock()
+        self._idle = []
+        self._connections = connections
+        self._busy = 0
+
+    def send(self, request, on_head, on_body, on_sending=None):
+        """Send a request and hand its answer over piece by piece.
+
+        Args:
+            request: BackendRequest.
+            on_head: Called once with status, headers and length (-1 if unknown).
+            on_body: Called with each part of the body.
+            on_sending: Called before the first byte is sent.
+
+        Raises:
+            RequestError: BACKEND_UNREACHABLE if it was not sent, SERVER_BUSY if all
+                connections are in use, TIMEOUT or OUTCOME_UNKNOWN if it was sent
+                and the answer is missing or cut short.
+        """
+        handle = self._take()
+        exchange = _Exchange(handle, request, on_head, on_body, on_sending)
+        try:
+            exchange.run(self._url)
+        finally:
+            self._give_back(handle)
+
+    def _take(self):
+        with self._lock:
+            if self._idle:
+                return self._idle.pop()
+            if self._busy >= self._connections:
+                raise RequestError(ErrorKind.SERVER_BUSY, "all connections are in use")
+            self._busy += 1
+        return pycurl.Curl()
+
+    def _give_back(self, handle):
+        handle.reset()
+        with self._lock:
+            self._idle.append(handle)
+
+
+class _Exchange:
+    """One request and its answer on one handle."""
+
+    def __init__(self, handle, request, on_head, on_body, on_sending):
+        self._handle = handle
+        self._request = request
+        self._on_head = on_head
+        self._on_body = on_body
+        self._on_sending = on_sending
+        self._sendings = 0
+        self._status = 0
+        self._headers = []
+        self._length = -1
+        self._is_head_done = False
+        self._buffer = request.body
+        self._failure = None
+
+    def run(self, base_url):
+        self._prepare(base_url)
+        try:
+            self._handle.perform()
+        except pycurl.error as error:
+            if self._failure is not None:
+                raise self._failure from None
+            raise self._explain(*error.args[:2]) from None
+        if not self._is_head_done:
+            self._finish_head()
+            if self._failure is not None:
+                raise self._failure
+
+    def _prepare(self, base_url):
+        handle, request = self._handle, self._request
+        handle.setopt(pycurl.URL, (base_url + request.path).encode("latin-1"))
+        handle.setopt(pycurl.PATH_AS_IS, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.TCP_NODELAY, 1)
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.HTTP_TRANSFER_DECODING, 1)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        handle.setopt(pycurl.TIMEOUT_MS, max(int(request.timeout * 1000), 1))
+        handle.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_SECONDS)
+        handle.setopt(pycurl.PREREQFUNCTION, self._on_prepared)
+        handle.setopt(pycurl.HEADERFUNCTION, self._take_header)
+        handle.setopt(pycurl.WRITEFUNCTION, self._take_body)
+        self._prepare_body(handle, request)
+        handle.setopt(pycurl.HTTPHEADER, self._list_headers())
+
+    def _prepare_body(self, handle, request):
+        if request.read_more is not None:
+            handle.setopt(pycurl.UPLOAD, 1)
+            handle.setopt(pycurl.READFUNCTION, self._give_body)
+            if request.length >= 0:
+                handle.setopt(pycurl.INFILESIZE_LARGE, request.length)
+        elif request.body:
+            handle.setopt(pycurl.POSTFIELDS, request.body)
+            handle.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
+        elif request.method in ("POST", "PUT", "PATCH"):
+            handle.setopt(pycurl.POSTFIELDS, b"")
+        if request.method == "HEAD":
+            handle.setopt(pycurl.NOBODY, 1)
+        elif request.method != "GET" or request.body or request.read_more:
+            handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+
+    def _list_headers(self):
+        lines = ["Expect:"]
+        names = set()
+        for name, value in self._request.headers:
+            names.add(name.lower())
+            lines.append(f"{name}: {value}" if value else f"{name};")
+        lines.extend(
+            f"{name}:"
+            for name in ("Accept", "Content-Type", "User-Agent")
+            if name.lower() not in names
+        )
+        if self._request.read_more is not None and self._request.length < 0:
+            lines.append("Transfer-Encoding: chunked")
+        return [line.encode("latin-1", "replace") for line in lines]
+
+    def _on_prepared(self, *_):
+        self._sendings += 1
+        if self._sendings > 1:
+            return pycurl.PREREQFUNC_ABORT
+        if self._on_sending is not None:
+            try:
+                self._on_sending()
+            except RequestError as error:
+                self._failure = error
+                return pycurl.PREREQFUNC_ABORT
+        return pycurl.PREREQFUNC_OK
+
+    def _give_body(self, size):
+        try:
+            if not self._buffer:
+                self._buffer = self._request.read_more()
+        except Exception as error:
+            self._failure = error
+            return pycurl.READFUNC_ABORT
+        part, self._buffer = self._buffer[:size], self._buffer[size:]
+        return part
+
+    def _take_header(self, line):
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text.startswith("HTTP/"):
+            self._status = int(text.split(" ", 2)[1])
+            self._headers = []
+            self._length = -1
+            return
+        if not text:
+            if self._status >= 200 and self._request.method == "HEAD":
+                self._finish_head()
+            return
+        name, _, value = text.partition(":")
+        self._headers.append([name, value.strip()])
+        if name.lower() == "content-length" and value.strip().isdigit():
+            self._length = int(value)
+
+    def _take_body(self, data):
+        try:
+            if not self._is_head_done:
+                self._finish_head()
+                if self._failure is not None:
+                    return -1
+            self._on_body(data)
+        except Exception as error:
+            self._failure = error
+            return -1
+        return None
+
+    def _finish_head(self):
+        self._is_head_done = True
+        try:
+            self._on_head(self._status, self._headers, self._length)
+        except Exception as error:
+            self._failure = error
+
+    def _explain(self, code, text):
+        if self._sendings == 0 and code in UNSENT_ERRORS:
+            return RequestError(ErrorKind.BACKEND_UNREACHABLE, text)
+        if self._sendings == 0 and code == pycurl.E_OPERATION_TIMEDOUT:
+            return RequestError(ErrorKind.BACKEND_UNREACHABLE, text)
+        if code == pycurl.E_OPERATION_TIMEDOUT:
+            return RequestError(ErrorKind.TIMEOUT, "the backend server did not answer")
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, text)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -0,0 +1,127 @@
+"""The callers' port."""
+
+import json
+
+from godwitrack.exceptions import (
+    ERROR_ANSWERS,
+    CallerGone,
+    ErrorKind,
+    RequestError,
+)
+from godwitrack.kernel import Service
+from godwitrack.link import tune_socket
+from godwitrack.logs import find_logger
+from godwitrack_node.context import ERROR_HEADER, REQUEST_ID_HEADER
+from godwitrack_node.httpserver import ConnectionServer, HttpConnection
+
+
+class Callers(Service):
+    """Serves callers' connections, one thread for each."""
+
+    name = "callers"
+
+    def __init__(self, executor, address, limit):
+        self._executor = executor
+        self._address = address
+        self._limit = limit
+        self._server = None
+        self._entry = None
+        self._metrics = None
+        self._request_log = None
+        self._is_stopping = False
+        self._log = find_logger("callers")
+
+    @property
+    def address(self):
+        """(host, port) where callers are served."""
+        return self._server.address
+
+    def start(self, kernel):
+        """Bind the port and begin to serve."""
+        self._entry = kernel.find("entry")
+        self._metrics = kernel.find("metrics")
+        self._request_log = kernel.find("request-log")
+        self._server = ConnectionServer(
+            self._executor, self._address, self._serve, self._limit
+        )
+        self._server.start()
+
+    def drain(self):
+        """Accept no more connections, and close each after its request."""
+        self._is_stopping = True
+        self._server.close()
+
+    def stop(self):
+        """End the connections that are still open."""
+        self._server.interrupt()
+
+    def _serve(self, sock, remote):
+        tune_socket(sock)
+        connection = HttpConnection(sock)
+        while self._serve_request(connection, remote):
+            pass
+
+    def _serve_request(self, connection, remote):
+        """Serve one request; returns whether the connection can serve another."""
+        try:
+            request = connection.read_request()
+        except RequestError as error:
+            self._metrics.count_bad_input("http")
+            self._refuse(connection, error, "", False)
+            return False
+        if request is None:
+            return False
+        if self._is_stopping:
+            request.keep_alive = False
+        errand = self._entry.begin(request)
+        with self._metrics.track_request():
+            is_open = self._handle(errand, request, connection)
+        self._metrics.record_request(errand)
+        self._request_log.record(errand, request)
+        return is_open and request.keep_alive and connection.skip_body()
+
+    def _handle(self, errand, request, connection):
+        """Handle one request; returns whether the connection is in good order."""
+        try:
+            self._entry.handle(errand, request, connection)
+            return True
+        except RequestError as error:
+            failure = error
+        except CallerGone:
+            self._metrics.count_caller_gone()
+            return False
+        except Exception:
+            self._log.exception("request failed", request_id=errand.request_id)
+            failure = RequestError(ErrorKind.INTERNAL)
+        errand.kind = failure.kind
+        errand.status = failure.answer.status
+        if connection.is_answered:
+            return False
+        keep_alive = request.keep_alive and failure.kind is not ErrorKind.BAD_REQUEST
+        request.keep_alive = keep_alive
+        return self._refuse(connection, failure, errand.request_id, keep_alive)
+
+    def _refuse(self, connection, error, request_id, keep_alive):
+        """Send an error answer; returns whether the caller took it."""
+        answer = ERROR_ANSWERS[error.kind]
+        body = json.dumps(
+            {
+                "error": error.kind.value,
+                "text": error.detail,
+                "not_run": answer.not_run,
+                "may_repeat": answer.repeatable,
+                "request_id": request_id,
+            }
+        ).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            (ERROR_HEADER, error.kind.value),
+            ("Godwitrack-Not-Run", "true" if answer.not_run else "false"),
+        ]
+        if request_id:
+            headers.append((REQUEST_ID_HEADER, request_id))
+        try:
+            connection.start_answer(answer.status, headers, len(body), body, keep_alive)
+        except CallerGone:
+            return False
+        return True
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/cmdline.py
@@ -0,0 +1,82 @@
+"""The command line of godwitrackd."""
+
+import signal
+import sys
+import threading
+
+from absl import flags
+
+from godwitrack.exceptions import SettingsError, StartError
+from godwitrack.logs import configure_logs, find_logger
+from godwitrack.settings import load_settings
+from godwitrack_node.node import STACK_BYTES, Node
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def run():
+    """Run godwitrackd and leave with its exit status."""
+    sys.exit(main(sys.argv))
+
+
+def main(arguments):
+    """Run godwitrackd.
+
+    Args:
+        arguments: Command line, the program's name first.
+
+    Returns:
+        Exit status.
+    """
+    values = _define_flags()
+    try:
+        rest = values(arguments)
+    except flags.Error as error:
+        print(f"godwitrackd: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if values.help:
+        print("godwitrackd, the node beside a backend server\n")
+        print(values.main_module_help() or values.get_help())
+        return EXIT_DONE
+    if len(rest) > 1 or not values.settings:
+        print("godwitrackd: usage: godwitrackd --settings=FILE", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        settings = load_settings(values.settings)
+    except SettingsError as error:
+        print(f"godwitrackd: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if values.check:
+        print(f"{values.settings}: good")
+        return EXIT_DONE
+    return _serve(settings)
+
+
+def _define_flags():
+    values = flags.FlagValues()
+    flags.DEFINE_string("settings", None, "Settings file, in YAML.", flag_values=values)
+    flags.DEFINE_bool(
+        "check", False, "Check the settings and start nothing.", flag_values=values
+    )
+    flags.DEFINE_bool("help", False, "Show this help.", flag_values=values)
+    return values
+
+
+def _serve(settings):
+    configure_logs(settings.get("logs.form"), settings.get("logs.level"))
+    threading.stack_size(STACK_BYTES)
+    try:
+        node = Node(settings)
+        node.start()
+    except (StartError, OSError) as error:
+        causes = error.exceptions if isinstance(error, StartError) else (error,)
+        for cause in causes:
+            find_logger("node").error("not started", error=str(cause))
+        return EXIT_FAILED
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: node.ask_stop())
+    while not node.wait_stop(1.0):
+        pass
+    return EXIT_FAILED if node.stop() else EXIT_DONE
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/context.py
@@ -0,0 +1,91 @@
+"""The signed context that travels with a request through backend servers."""
+
+import base64
+import hashlib
+import hmac
+
+import cbor2
+
+from godwitrack.exceptions import ErrorKind, RequestError
+
+CONTEXT_HEADER = "Godwitrack-Context"
+REQUEST_ID_HEADER = "Godwitrack-Request-Id"
+DEADLINE_HEADER = "Godwitrack-Deadline-Ms"
+ERROR_HEADER = "Godwitrack-Error"
+NOT_RUN_HEADER = "Godwitrack-Not-Run"
+
+_SIGNATURE_BYTES = 16
+
+
+class RequestContext:
+    """What a nested call inherits from the request that caused it.
+
+    Attributes:
+        customer: Name of the customer.
+        request_id: Id of the outer request.
+        deadline: Monotonic time of the node, in seconds.
+        depth: Calls in the chain so far.
+        retries_left: Attempts after the first that the whole chain may still make.
+        regions: Sorted list of the regions that the outer request allows.
+    """
+
+    __slots__ = (
+        "customer",
+        "deadline",
+        "depth",
+        "regions",
+        "request_id",
+        "retries_left",
+    )
+
+    def __init__(self, customer, request_id, deadline, depth, retries_left, regions):
+        self.customer = customer
+        self.request_id = request_id
+        self.deadline = deadline
+        self.depth = depth
+        self.retries_left = retries_left
+        self.regions = regions
+
+
+class ContextSigner:
+    """Writes contexts as header values and reads them back.
+
+    A context is only read by the node that wrote it, so that the deadline may be
+    given in that node's own monotonic time.
+    """
+
+    def __init__(self, secret, incarnation):
+        self._key = f"context|{incarnation}|{secret}".encode()
+
+    def write(self, context):
+        """Return a context as the value of a header."""
+        data = cbor2.dumps(
+            [
+                context.customer,
+                context.request_id,
+                context.deadline,
+                context.depth,
+                context.retries_left,
+                context.regions,
+            ]
+        )
+        return base64.urlsafe_b64encode(self._sign(data) + data).decode()
+
+    def read(self, value):
+        """Return the RequestContext in the value of a header.
+
+        Raises:
+            RequestError: UNAUTHENTICATED; this node did not write it.
+        """
+        try:
+            raw = base64.urlsafe_b64decode(value.encode())
+        except ValueError:
+            raw = b""
+        signature, data = raw[:_SIGNATURE_BYTES], raw[_SIGNATURE_BYTES:]
+        if not data or not hmac.compare_digest(signature, self._sign(data)):
+            raise RequestError(ErrorKind.UNAUTHENTICATED, "the context is not genuine")
+        return RequestContext(*cbor2.loads(data))
+
+    def _sign(self, data):
+        digest = hmac.new(self._key, data, hashlib.sha256).digest()
+        return digest[:_SIGNATURE_BYTES]
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -0,0 +1,336 @@
+"""The entry: takes a caller's request to a backend server and its answer back."""
+
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack.kernel import Service
+from godwitrack.messages import Call
+from godwitrack_node.attempt import LocalAttempt, RemoteAttempt
+from godwitrack_node.context import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+)
+from godwitrack_node.exchange import PART_BYTES, CallerSink, CallerSource
+from godwitrack_node.httpserver import HOP_HEADERS
+from godwitrack_node.retries import RetryBudget
+
+MAX_ATTEMPTS = 4
+DROP_HEADERS = HOP_HEADERS | {
+    "authorization",
+    "host",
+    CONTEXT_HEADER.lower(),
+    DEADLINE_HEADER.lower(),
+    REQUEST_ID_HEADER.lower(),
+}
+REPEATABLE_KINDS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST))
+
+
+class Errand:
+    """What the entry knows of one request while it works on it.
+
+    Attributes:
+        request_id: Id of the request.
+        customer: Name of the customer, or "" before it is known.
+        request_class: Name of the class, or "".
+        service: Name of the service.
+        method: HTTP method.
+        path: Path within the service, without the query.
+        target: Path within the service, with the query.
+        idempotent: Whether it may run more than once.
+        regions: Regions that may serve it, a frozenset.
+        deadline: Monotonic time in seconds.
+        depth: Position in the chain of calls; 1 for a request from outside.
+        retries_left: Attempts after the first that are still allowed.
+        attempts: Attempts made.
+        server: Name of the server tried last, or "".
+        status: HTTP status given to the caller, or 0.
+        kind: ErrorKind given to the caller, or None.
+        received_at: Monotonic time of its arrival in seconds.
+    """
+
+    __slots__ = (
+        "attempts",
+        "customer",
+        "deadline",
+        "depth",
+        "idempotent",
+        "kind",
+        "method",
+        "path",
+        "received_at",
+        "regions",
+        "request_class",
+        "request_id",
+        "retries_left",
+        "server",
+        "service",
+        "status",
+        "target",
+    )
+
+    def __init__(self, request_id, request, now):
+        self.request_id = request_id
+        self.method = request.method
+        self.service, self.target = _split_target(request.target)
+        self.path = self.target.partition("?")[0]
+        self.received_at = now
+        self.customer = ""
+        self.request_class = ""
+        self.idempotent = False
+        self.regions = frozenset()
+        self.deadline = now
+        self.depth = 1
+        self.retries_left = 0
+        self.attempts = 0
+        self.server = ""
+        self.status = 0
+        self.kind = None
+
+
+class Entry(Service):
+    """Authenticates a request, finds its plan and route, and makes the attempts."""
+
+    name = "entry"
+
+    def __init__(self, clock, identity, settings, signer):
+        self._clock = clock
+        self._identity = identity
+        self._signer = signer
+        self._max_body = settings.get("requests.max_body_bytes")
+        self._default_deadline = settings.get_seconds("requests.default_deadline_ms")
+        self._max_deadline = settings.get_seconds("requests.max_deadline_ms")
+        self._max_depth = settings.get("requests.max_depth")
+        self._silence = settings.get_seconds("links.silence_ms")
+        self._configurations = None
+        self._router = None
+        self._pool = None
+        self._guard = None
+        self.retry_budget = RetryBudget()
+
+    def start(self, kernel):
+        """Find the collaborators."""
+        self._configurations = kernel.find("configurations")
+        self._router = kernel.find("router")
+        self._pool = kernel.find("link-pool")
+        self._guard = kernel.find("guard")
+
+    def begin(self, request):
+        """Return the Errand of a request that just arrived."""
+        now = self._clock.read_monotonic()
+        return Errand(self._identity.make_request_id(), request, now)
+
+    def handle(self, errand, request, connection):
+        """Serve a request.
+
+        Args:
+            errand: Errand made by `begin`.
+            request: HttpRequest.
+            connection: HttpConnection, which gets the answer.
+
+        Raises:
+            RequestError: There is no answer; if the connection's answer has begun,
+                the connection must be closed.
+            CallerGone: The caller closed the connection.
+        """
+        self._classify(errand, request)
+        if request.length > self._max_body:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        source = CallerSource(connection, self._max_body)
+        body, more = _read_first_part(source, request)
+        source.is_touched = False
+        sink = CallerSink(connection, request, (REQUEST_ID_HEADER, errand.request_id))
+        self._make_attempts(errand, request, source, sink, body, more)
+        errand.status = sink.status
+
+    def _make_attempts(self, errand, request, source, sink, body, more):
+        tried = set()
+        uncertain = None
+        refusal = None
+        while True:
+            try:
+                view = self._router.choose(errand.service, errand.regions, tried)
+                call = self._make_call(errand, request, view.record, body, more)
+                tried.add(view.record.name)
+                self._attempt(errand, view, call, source, sink)
+                break
+            except RequestError as error:
+                if not error.answer.not_run:
+                    uncertain = uncertain or error
+                if not self._may_retry(errand, error, source, sink):
+                    # Once an attempt may have run, no later refusal says "not run".
+                    raise uncertain or self._pick(refusal, error) from None
+                refusal = error
+        if errand.attempts == 1:
+            self.retry_budget.deposit()
+
+    def _pick(self, refusal, error):
+        """Return a server's own refusal rather than the lack of a further server."""
+        if refusal is not None and error.kind is ErrorKind.NO_SERVER:
+            return refusal
+        return error
+
+    def _attempt(self, errand, view, call, source, sink):
+        """Make one attempt and learn from it."""
+        errand.attempts += 1
+        errand.server = view.record.name
+        started = self._clock.read_monotonic()
+        view.record_sent()
+        try:
+            load = self._find_attempt(view).run(call, source, sink)
+        except RequestError as error:
+            now = self._clock.read_monotonic()
+            if error.answer.not_run and error.kind is not ErrorKind.BACKEND_UNREACHABLE:
+                view.record_refusal()
+            else:
+                view.record_failure(now - started, now)
+            raise
+        except CallerGone:
+            view.record_refusal()
+            raise
+        except Exception:
+            now = self._clock.read_monotonic()
+            view.record_failure(now - started, now)
+            raise
+        now = self._clock.read_monotonic()
+        if sink.status >= 500:
+            view.record_failure(now - started, now)
+        else:
+            view.record_answer(now - started, now)
+        if load is not None:
+            self._take_load(view, load)
+
+    def _find_attempt(self, view):
+        if view.record.name == self._identity.name:
+            return LocalAttempt(self._guard)
+        return RemoteAttempt(
+            self._clock,
+            self._pool,
+            view.record.address,
+            self._silence,
+            lambda load: self._take_load(view, load),
+        )
+
+    def _take_load(self, view, load):
+        view.record_load(load, self._clock.read_monotonic())
+        if load.revision > self._configurations.current.revision:
+            self._configurations.hint(view.record.address)
+
+    def _may_retry(self, errand, error, source, sink):
+        if sink.is_started or source.is_touched:
+            return False
+        if errand.attempts >= MAX_ATTEMPTS:
+            return False
+        if errand.deadline <= self._clock.read_monotonic():
+            return False
+        if error.kind is ErrorKind.NO_SERVER:
+            return False
+        if not error.answer.retryable:
+            if not errand.idempotent or error.kind not in REPEATABLE_KINDS:
+                return False
+            if errand.retries_left <= 0:
+                return False
+            errand.retries_left -= 1
+        return self.retry_budget.withdraw()
+
+    def _make_call(self, errand, request, record, body, more):
+        left = errand.deadline - self._clock.read_monotonic()
+        if left <= 0:
+            raise RequestError(ErrorKind.DEADLINE_EXPIRED)
+        return Call(
+            f"{errand.request_id}.{errand.attempts}",
+            record.incarnation,
+            self._configurations.current.revision,
+            errand.customer,
+            errand.request_class,
+            errand.service,
+            errand.method,
+            errand.target,
+            [list(item) for item in request.headers if item[0] not in DROP_HEADERS],
+            errand.idempotent,
+            sorted(errand.regions),
+            left * 1000.0,
+            errand.depth,
+            errand.retries_left,
+            request.length,
+            body,
+            more,
+        )
+
+    def _classify(self, errand, request):
+        """Find customer, plan and route of a request and fill in the errand."""
+        configuration = self._configurations.read()
+        context = self._read_context(request)
+        customer = self._find_customer(configuration, context, request)
+        errand.customer = customer.name
+        plan = configuration.find_plan(customer)
+        route = plan.find_route(errand.service, errand.method, errand.path)
+        if route is None:
+            raise RequestError(ErrorKind.NOT_ALLOWED)
+        errand.request_class = route.request_class.value
+        errand.idempotent = route.idempotent
+        errand.retries_left = route.max_retries
+        errand.regions = plan.find_regions(route)
+        errand.deadline = errand.received_at + self._read_deadline(request)
+        if context is not None:
+            self._inherit(errand, context)
+        if self._identity.region not in errand.regions:
+            raise RequestError(ErrorKind.WRONG_REGION)
+
+    def _inherit(self, errand, context):
+        """Keep a nested call within what its outer request may still use."""
+        errand.deadline = min(errand.deadline, context.deadline)
+        errand.depth = context.depth + 1
+        errand.retries_left = min(errand.retries_left, context.retries_left)
+        errand.regions &= frozenset(context.regions)
+        if errand.depth > self._max_depth:
+            raise RequestError(ErrorKind.TOO_DEEP)
+
+    def _read_context(self, request):
+        value = request.get(CONTEXT_HEADER.lower())
+        return self._signer.read(value) if value else None
+
+    def _find_customer(self, configuration, context, request):
+        if context is not None:
+            customer = configuration.customers_by_name.get(context.customer)
+        else:
+            scheme, _, key = request.get("authorization").partition(" ")
+            customer = None
+            if scheme.lower() == "bearer":
+                customer = configuration.find_customer(key.strip())
+        if customer is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED)
+        return customer
+
+    def _read_deadline(self, request):
+        text = request.get(DEADLINE_HEADER.lower())
+        if not text:
+            return self._default_deadline
+        if not text.isdigit() or int(text) == 0:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f"{DEADLINE_HEADER} is no number of ms"
+            )
+        return min(int(text) / 1000.0, self._max_deadline)
+
+
+def _split_target(target):
+    """Return service and path of a target such as "/scenbok/scenes/7"."""
+    service, slash, rest = target.lstrip("/").partition("/")
+    if "?" in service:
+        service, _, query = service.partition("?")
+        return service, f"/?{query}"
+    return service, f"/{rest}" if slash else "/"
+
+
+def _read_first_part(source, request):
+    """Return the first part of a body and whether more may follow."""
+    if request.length == 0:
+        return b"", False
+    parts, size = [], 0
+    while size < PART_BYTES:
+        part = source.read()
+        if not part:
+            return b"".join(parts), False
+        parts.append(part)
+        size += len(part)
+        if size == request.length:
+            return b"".join(parts), False
+    return b"".join(parts), True
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/exchange.py
@@ -0,0 +1,237 @@
+"""Where a request's body comes from and where its answer goes."""
+
+import abc
+
+from godwitrack.exceptions import (
+    CallerGone,
+    ErrorKind,
+    LinkError,
+    RequestError,
+)
+from godwitrack.messages import Answer, Chunk, Proceed
+
+PART_BYTES = 64 * 1024
+BODY_TIMEOUT_SECONDS = 20.0
+NO_BODY_STATUSES = (204, 304)
+
+
+class BodySource(abc.ABC):
+    """Gives the parts of a request's body that follow the first one."""
+
+    @abc.abstractmethod
+    def read(self):
+        """Return the next part, or empty bytes at the end.
+
+        Raises:
+            RequestError: The body broke off.
+        """
+
+    def proceed(self):
+        """Tell the sender that the rest of the body is wanted now."""
+
+
+class AnswerSink(abc.ABC):
+    """Takes an answer.
+
+    Attributes:
+        is_started: Whether the head went out, so that nothing else can be sent.
+    """
+
+    is_started = False
+
+    @abc.abstractmethod
+    def start(self, status, headers, length, body, more):
+        """Take the head and the first part of the body.
+
+        Args:
+            status: HTTP status.
+            headers: List of pairs of texts.
+            length: Bytes of the whole body, or -1 if not known.
+            body: First part.
+            more: Whether parts follow.
+        """
+
+    @abc.abstractmethod
+    def write(self, body, more):
+        """Take a further part of the body."""
+
+
+class CallerSource(BodySource):
+    """The rest of a body that a caller sends over HTTP.
+
+    Attributes:
+        is_touched: Whether any part was read, so that it can't be read again.
+    """
+
+    def __init__(self, connection, limit):
+        self._connection = connection
+        self._left = limit
+        self.is_touched = False
+
+    def read(self):
+        """Return the next part that the caller sent."""
+        self.is_touched = True
+        part = self._connection.read_body()
+        self._left -= len(part)
+        if self._left < 0:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        return part
+
+
+class CallerSink(AnswerSink):
+    """Writes an answer to a caller over HTTP and checks that it is whole."""
+
+    def __init__(self, connection, request, request_id_header):
+        self._connection = connection
+        self._request = request
+        self._request_id_header = request_id_header
+        self._left = None
+        self.is_started = False
+        self.status = 0
+
+    def start(self, status, headers, length, body, more):
+        """Send the head and the first part."""
+        self.is_started = True
+        self.status = status
+        headers = [*headers, self._request_id_header]
+        if self._request.method == "HEAD" or status in NO_BODY_STATUSES:
+            if length >= 0 and status != 204:
+                headers.append(("Content-Length", str(length)))
+            self._begin(status, headers, None, b"")
+            return
+        if not more:
+            if length >= 0 and length != len(body):
+                self.is_started = False
+                raise RequestError(ErrorKind.ANSWER_LOST, "the answer was cut short")
+            length = len(body)
+        elif length >= 0:
+            self._left = length - len(body)
+        self._begin(status, headers, length, body)
+
+    def write(self, body, more):
+        """Send a further part; the last one must complete the length."""
+        if self._left is not None:
+            self._left -= len(body)
+            if self._left < 0 or (not more and self._left > 0):
+                raise RequestError(ErrorKind.ANSWER_LOST, "the answer was cut short")
+        self._connection.write_answer(body)
+        if not more:
+            self._connection.end_answer()
+
+    def _begin(self, status, headers, length, body):
+        self._connection.start_answer(
+            status, headers, length, body, self._request.keep_alive
+        )
+
+
+class LinkSource(BodySource):
+    """The rest of a body that another node sends over a link."""
+
+    def __init__(self, link):
+        self._link = link
+        self._is_done = False
+        self._is_begun = False
+
+    @property
+    def is_open(self):
+        """Whether parts that were asked for have not been read."""
+        return self._is_begun and not self._is_done
+
+    def proceed(self):
+        """Ask the other node for the rest."""
+        self._is_begun = True
+        self._link.send(Proceed(), BODY_TIMEOUT_SECONDS)
+
+    def read(self):
+        """Return the next part that the other node sent."""
+        if self._is_done:
+            return b""
+        try:
+            message = self._link.receive(BODY_TIMEOUT_SECONDS)
+        except LinkError as error:
+            raise CallerGone(str(error)) from None
+        if type(message) is not Chunk:
+            raise CallerGone("the body broke off")
+        self._is_done = not message.more
+        return message.data
+
+
+class LinkSink(AnswerSink):
+    """Sends an answer over a link."""
+
+    def __init__(self, link, request_id, read_load):
+        self._link = link
+        self._request_id = request_id
+        self._read_load = read_load
+        self.is_started = False
+
+    def start(self, status, headers, length, body, more):
+        """Send the head and the first part."""
+        self.is_started = True
+        load = self._read_load().to_data()
+        answer = Answer(
+            self._request_id, status, headers, load, length, bytes(body), more
+        )
+        self._link.send(answer, BODY_TIMEOUT_SECONDS)
+
+    def write(self, body, more):
+        """Send a further part."""
+        self._link.send(Chunk(bytes(body), more), BODY_TIMEOUT_SECONDS)
+
+
+class PartCollector:
+    """Gathers small pieces of a body into parts of PART_BYTES.
+
+    Where the whole answer fits one part, the sink gets it at once.
+
+    Attributes:
+        status: HTTP status, or 0 before the head.
+        headers: Headers of the answer without those of the connection.
+    """
+
+    def __init__(self, sink, drop_headers):
+        self._sink = sink
+        self._drop_headers = drop_headers
+        self._pieces = []
+        self._size = 0
+        self._length = -1
+        self._is_started = False
+        self.status = 0
+        self.headers = []
+
+    @property
+    def has_whole(self):
+        """Whether nothing was handed over yet, so that all parts are here."""
+        return not self._is_started
+
+    def peek_whole(self):
+        """Return the body as far as it was not handed over."""
+        return b"".join(self._pieces)
+
+    def take_head(self, status, headers, length):
+        """Take the head of the answer."""
+        self.status = status
+        self.headers = [
+            item for item in headers if item[0].lower() not in self._drop_headers
+        ]
+        self._length = length
+
+    def take_body(self, data):
+        """Take a piece of the body."""
+        self._pieces.append(data)
+        self._size += len(data)
+        if self._size >= PART_BYTES:
+            self._flush(True)
+
+    def finish(self):
+        """Hand over what is left."""
+        self._flush(False)
+
+    def _flush(self, more):
+        body = b"".join(self._pieces)
+        self._pieces, self._size = [], 0
+        if self._is_started:
+            self._sink.write(body, more)
+            return
+        self._is_started = True
+        self._sink.start(self.status, self.headers, self._length, body, more)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -0,0 +1,216 @@
+"""The guard: the only way to the node's backend server."""
+
+from godwitrack.exceptions import (
+    CallerGone,
+    DuplicateRequest,
+    ErrorKind,
+    LinkError,
+    RequestError,
+)
+from godwitrack.kernel import Service
+from godwitrack.messages import Load
+from godwitrack.plans import RequestClass
+from godwitrack_node.admission import Admission, Ticket
+from godwitrack_node.backend import BackendClient, BackendRequest
+from godwitrack_node.context import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    RequestContext,
+)
+from godwitrack_node.exchange import PartCollector
+from godwitrack_node.httpserver import HOP_HEADERS
+from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+
+ANSWER_DROP_HEADERS = HOP_HEADERS | {NOT_RUN_HEADER.lower()}
+STATUS_SHED = 503
+
+
+class Guard(Service):
+    """Admits requests, runs them at the backend server, and remembers them."""
+
+    name = "guard"
+
+    def __init__(self, clock, identity, settings, signer, lease):
+        self._clock = clock
+        self._identity = identity
+        self._signer = signer
+        self._lease = lease
+        self._cold_slots = settings.get("backend.cold_slots")
+        self._backend = BackendClient(
+            settings.get("backend.address"), settings.get("backend.connections")
+        )
+        self._configurations = None
+        self._directory = None
+        self._exclusions = None
+        self._metrics = None
+        self.ledger = Ledger(clock)
+        self.admission = Admission(clock, self._cold_slots, self._cold_slots)
+
+    def start(self, kernel):
+        """Find the collaborators."""
+        self._configurations = kernel.find("configurations")
+        self._directory = kernel.find("directory")
+        self._exclusions = kernel.find("exclusions")
+        self._metrics = kernel.find("metrics")
+
+    def drain(self):
+        """Refuse new requests as not run."""
+        self.admission.drain()
+
+    def read_load(self):
+        """Return the Load of the backend server."""
+        admission = self.admission
+        revision = self._configurations.current.revision
+        return Load(admission.in_flight, admission.queued, admission.limit, revision)
+
+    def query(self, request_id, incarnation):
+        """Say what became of a request; one that did not start is fenced.
+
+        Args:
+            request_id: Id of the request.
+            incarnation: Incarnation to which it was sent.
+
+        Returns:
+            OutcomeState and KeptAnswer or None.
+        """
+        if incarnation != self._identity.incarnation:
+            return OutcomeState.UNKNOWN, None
+        entry = self.ledger.query(request_id)
+        return entry.state, entry.answer
+
+    def run(self, call, source, sink):
+        """Run a request at the backend server.
+
+        Args:
+            call: Call.
+            source: BodySource for what follows the call's first part.
+            sink: AnswerSink.
+
+        Raises:
+            RequestError: The request got no answer, or only a part of one.
+            CallerGone: The other side of source or sink is gone.
+        """
+        now = self._clock.read_monotonic()
+        deadline = now + call.deadline_ms / 1000.0
+        weight = self._check(call)
+        rank = RequestClass(call.request_class).rank
+        ticket = Ticket(call.customer, weight, rank, deadline)
+        self.admission.server_count = self._count_servers()
+        self.admission.acquire(ticket)
+        kind = (call.method, call.request_class)
+        is_failure = True
+        try:
+            is_failure = self._execute(call, source, sink, deadline)
+        except RequestError as error:
+            is_failure = not error.answer.not_run or (
+                error.kind is ErrorKind.BACKEND_UNREACHABLE
+            )
+            raise
+        except (CallerGone, LinkError):
+            is_failure = False
+            raise
+        finally:
+            self.admission.release(ticket, kind, is_failure)
+
+    def _check(self, call):
+        """Check that the request may run here and return the customer's weight."""
+        if call.incarnation != self._identity.incarnation:
+            raise RequestError(ErrorKind.STALE_INCARNATION)
+        self._lease.check()
+        configuration = self._configurations.read()
+        if call.service != self._identity.service:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE)
+        if self._exclusions.covers_self():
+            raise RequestError(ErrorKind.STOPPING, "taken out of service by operators")
+        region = self._identity.region
+        if region not in call.regions:
+            raise RequestError(ErrorKind.WRONG_REGION)
+        customer = configuration.customers_by_name.get(call.customer)
+        if customer is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED)
+        plan = configuration.find_plan(customer)
+        route = plan.find_route(call.service, call.method, call.path.partition("?")[0])
+        if route is None:
+            raise RequestError(ErrorKind.NOT_ALLOWED)
+        if region not in plan.find_regions(route):
+            raise RequestError(ErrorKind.WRONG_REGION)
+        return plan.requests_per_second
+
+    def _count_servers(self):
+        servers = self._directory.find_service(self._identity.service)
+        return sum(record.state.is_serving for record in servers) or 1
+
+    def _execute(self, call, source, sink, deadline):
+        """Run an admitted request; returns whether the backend server failed."""
+        request = self._make_request(call, source, deadline)
+        collector = PartCollector(sink, ANSWER_DROP_HEADERS)
+        is_shed = False
+
+        def take_head(status, headers, length):
+            nonlocal is_shed
+            names = [name.lower() for name, _ in headers]
+            is_shed = status == STATUS_SHED and NOT_RUN_HEADER.lower() in names
+            collector.take_head(status, headers, length)
+
+        def take_body(data):
+            if not is_shed:
+                collector.take_body(data)
+
+        def claim():
+            self._lease.check()
+            self.ledger.claim(call.request_id)
+
+        if call.more:
+            source.proceed()
+        try:
+            self._backend.send(request, take_head, take_body, claim)
+        except RequestError as error:
+            self._record_failure(call, error)
+            raise
+        except Exception:
+            self.ledger.fail(call.request_id)
+            raise
+        if is_shed:
+            self.ledger.withdraw(call.request_id)
+            raise RequestError(ErrorKind.SERVER_BUSY, "the backend server shed load")
+        self._finish(call, collector)
+        return collector.status >= 500
+
+    def _record_failure(self, call, error):
+        if error.answer.not_run:
+            self.ledger.withdraw(call.request_id)
+        elif not isinstance(error, DuplicateRequest):
+            self.ledger.fail(call.request_id)
+
+    def _finish(self, call, collector):
+        """Record the answer before its last part goes out."""
+        kept = None
+        if not call.idempotent and collector.has_whole:
+            kept = KeptAnswer(
+                collector.status, collector.headers, collector.peek_whole()
+            )
+        self.ledger.finish(call.request_id, kept)
+        collector.finish()
+
+    def _make_request(self, call, source, deadline):
+        left = max(deadline - self._clock.read_monotonic(), 0.001)
+        context = RequestContext(
+            call.customer,
+            call.request_id,
+            deadline,
+            call.depth,
+            call.retries_left,
+            call.regions,
+        )
+        headers = [
+            *call.headers,
+            [CONTEXT_HEADER, self._signer.write(context)],
+            [REQUEST_ID_HEADER, call.request_id],
+            [DEADLINE_HEADER, str(int(left * 1000))],
+        ]
+        read_more = source.read if call.more else None
+        return BackendRequest(
+            call.method, call.path, headers, call.body, call.length, read_more, left
+        )
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -0,0 +1,320 @@
+"""The callers' side of HTTP: one thread for each connection, bodies in pieces."""
+
+import collections
+import socket
+from http import HTTPStatus
+
+import httptools
+
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+
+MAX_HEAD_BYTES = 64 * 1024
+RECEIVE_BYTES = 64 * 1024
+IDLE_TIMEOUT_SECONDS = 75.0
+READ_TIMEOUT_SECONDS = 20.0
+DISCARD_BYTES = 256 * 1024
+
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    )
+)
+
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
+class HttpRequest:
+    """Head of a caller's request.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: List of pairs of lower-case name and value.
+        length: Bytes of the body, or -1 if it comes in chunks.
+        keep_alive: Whether the connection may serve another request.
+    """
+
+    __slots__ = ("headers", "keep_alive", "length", "method", "target")
+
+    def __init__(self, method, target, headers, length, keep_alive):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.length = length
+        self.keep_alive = keep_alive
+
+    def get(self, name, default=""):
+        """Return the first value of a header.
+
+        Args:
+            name: Lower-case name.
+            default: Value where the header is missing.
+        """
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+
+class HttpConnection:
+    """One caller's connection; used by one thread."""
+
+    def __init__(self, sock):
+        self._socket = sock
+        self._parser = httptools.HttpRequestParser(self)
+        self._events = collections.deque()
+        self._head_bytes = 0
+        self._in_head = True
+        self._target = b""
+        self._headers = []
+        self._body_done = True
+        self._expects_continue = False
+        self._chunked = False
+        self._answer_started = False
+
+    @property
+    def is_answered(self):
+        """Whether the head of the current request's answer was sent."""
+        return self._answer_started
+
+    def read_request(self):
+        """Return the next HttpRequest, or None at the end of the connection.
+
+        Raises:
+            RequestError: What arrived is no well-formed request.
+        """
+        self._answer_started = False
+        self._body_done = False
+        timeout = IDLE_TIMEOUT_SECONDS
+        while not self._events:
+            if not self._receive(timeout):
+                return None
+            timeout = READ_TIMEOUT_SECONDS
+        request = self._events.popleft()
+        self._expects_continue = request.get("expect").lower() == "100-continue"
+        return request
+
+    def read_body(self):
+        """Return the next part of the body, or empty bytes at its end.
+
+        Raises:
+            CallerGone: The connection ended before the body did.
+            RequestError: The body is malformed.
+        """
+        if self._body_done:
+            return b""
+        if self._expects_continue:
+            self._expects_continue = False
+            self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while not self._events:
+            if not self._receive(READ_TIMEOUT_SECONDS):
+                raise CallerGone("the body is shorter than announced")
+        part = self._events.popleft()
+        if part is None:
+            self._body_done = True
+            return b""
+        return part
+
+    def skip_body(self):
+        """Read the rest of a short body away; tell whether that succeeded."""
+        if self._expects_continue and not self._body_done:
+            return False
+        skipped = 0
+        while not self._body_done:
+            try:
+                skipped += len(self.read_body())
+            except (CallerGone, RequestError):
+                return False
+            if skipped > DISCARD_BYTES:
+                return False
+        return True
+
+    def start_answer(self, status, headers, length, body=b"", keep_alive=True):
+        """Send the head of an answer, with the first part of its body.
+
+        Args:
+            status: HTTP status.
+            headers: List of pairs of texts, without those of the connection.
+            length: Bytes of the whole body, or -1 to send it in chunks; None for
+                an answer that has no body at all, such as one to HEAD.
+            body: First part of the body.
+            keep_alive: Whether the connection stays open afterwards.
+
+        Raises:
+            CallerGone: The caller closed the connection.
+        """
+        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        self._chunked = length == -1
+        if self._chunked:
+            lines.append("Transfer-Encoding: chunked")
+        elif length is not None:
+            lines.append(f"Content-Length: {length}")
+        if not keep_alive:
+            lines.append("Connection: close")
+        head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
+        self._answer_started = True
+        self._send(head + self._frame(body))
+
+    def write_answer(self, body):
+        """Send a further part of the body."""
+        self._send(self._frame(body))
+
+    def end_answer(self):
+        """Send the end of the body."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
+
+    def on_message_begin(self):
+        """Begin a request; called by the parser."""
+        self._in_head = True
+        self._target = b""
+        self._headers = []
+
+    def on_url(self, url):
+        """Take a part of the target; called by the parser."""
+        self._target += url
+
+    def on_header(self, name, value):
+        """Take a header; called by the parser."""
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        """Put the head of the request in the queue; called by the parser."""
+        self._in_head = False
+        self._head_bytes = 0
+        length = 0
+        for name, value in self._headers:
+            if name == "transfer-encoding":
+                length = -1
+                break
+            if name == "content-length":
+                length = int(value)
+        self._events.append(
+            HttpRequest(
+                self._parser.get_method().decode(),
+                self._target.decode("latin-1"),
+                self._headers,
+                length,
+                self._parser.should_keep_alive(),
+            )
+        )
+
+    def on_body(self, body):
+        """Put a part of the body in the queue; called by the parser."""
+        self._events.append(body)
+
+    def on_message_complete(self):
+        """Put the end of the body in the queue; called by the parser."""
+        self._events.append(None)
+        self._in_head = True
+
+    def _receive(self, timeout):
+        try:
+            self._socket.settimeout(timeout)
+            data = self._socket.recv(RECEIVE_BYTES)
+        except OSError:
+            return False
+        if not data:
+            return False
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, "upgrades are not served"
+            ) from None
+        except (httptools.HttpParserError, ValueError) as error:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"not HTTP: {error}") from None
+        if self._in_head and self._head_bytes > MAX_HEAD_BYTES and not self._events:
+            raise RequestError(ErrorKind.BAD_REQUEST, "the head is larger than 64 KiB")
+        return True
+
+    def _frame(self, body):
+        if not self._chunked or not body:
+            return body
+        return b"%x\r\n%b\r\n" % (len(body), body)
+
+    def _send(self, data):
+        try:
+            self._socket.settimeout(READ_TIMEOUT_SECONDS)
+            self._socket.sendall(data)
+        except OSError as error:
+            raise CallerGone(str(error)) from None
+
+
+class ConnectionServer:
+    """Accepts connections and gives each one a thread.
+
+    Attributes:
+        address: (host, port) where it listens.
+    """
+
+    def __init__(self, executor, address, serve, limit):
+        """Bind the socket.
+
+        Args:
+            executor: concurrent.futures.Executor for the threads.
+            address: Address to listen on.
+            serve: Function of a socket and its remote "host:port"; it runs in a
+                thread of its own, and the socket is closed after it.
+            limit: Most connections at once; further ones are closed.
+        """
+        self._executor = executor
+        self._serve = serve
+        self._limit = limit
+        self._open = set()
+        self._is_closed = False
+        self._socket = socket.create_server((address.host, address.port), backlog=512)
+        self.address = self._socket.getsockname()
+
+    def start(self):
+        """Begin to accept."""
+        self._executor.submit(self._accept)
+
+    def close(self):
+        """Stop accepting; open connections go on."""
+        self._is_closed = True
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._socket.close()
+
+    def interrupt(self):
+        """End the open connections."""
+        for sock in list(self._open):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def _accept(self):
+        while not self._is_closed:
+            try:
+                sock, remote = self._socket.accept()
+            except OSError:
+                continue
+            if len(self._open) >= self._limit:
+                sock.close()
+                continue
+            self._open.add(sock)
+            self._executor.submit(self._run, sock, f"{remote[0]}:{remote[1]}")
+
+    def _run(self, sock, remote):
+        try:
+            self._serve(sock, remote)
+        finally:
+            self._open.discard(sock)
+            sock.close()
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/identity.py
@@ -0,0 +1,38 @@
+"""Who the node is."""
+
+import itertools
+
+
+class Identity:
+    """Name, place and incarnation of a node.
+
+    Attributes:
+        name: Name of the backend server.
+        service: Service that it runs.
+        region: Its region.
+        data_centre: Its data centre.
+        incarnation: Microseconds since the Unix epoch at the node's start.
+    """
+
+    __slots__ = (
+        "_counter",
+        "_prefix",
+        "data_centre",
+        "incarnation",
+        "name",
+        "region",
+        "service",
+    )
+
+    def __init__(self, name, service, region, data_centre, incarnation):
+        self.name = name
+        self.service = service
+        self.region = region
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self._prefix = f"{name}.{incarnation:x}"
+        self._counter = itertools.count(1)
+
+    def make_request_id(self):
+        """Return an id that no other request of any node has."""
+        return f"{self._prefix}.{next(self._counter):x}"
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/lifecycle.py
@@ -0,0 +1,133 @@
+"""How the node's backend server joins, leaves and is told so."""
+
+import threading
+
+from godwitrack.exceptions import SettingsError
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack_node.directory import ServerState
+
+MAX_SLOTS = 100_000
+POLL_SECONDS = 0.02
+
+
+class Lifecycle(Service):
+    """Takes the backend server's announcements and carries out a planned stop."""
+
+    name = "lifecycle"
+
+    def __init__(self, clock, executor, identity, settings):
+        self._clock = clock
+        self._executor = executor
+        self._identity = identity
+        self._notice = settings.get_seconds("stop.notice_ms")
+        self._stop_timeout = settings.get_seconds("stop.timeout_ms")
+        self._lock = threading.Lock()
+        self._state = None
+        self._slots = 0
+        self._is_stopping = False
+        self._hurry = threading.Event()
+        self._guard = None
+        self._membership = None
+        self._metrics = None
+        self._log = find_logger("lifecycle")
+
+    def start(self, kernel):
+        """Find the collaborators."""
+        self._guard = kernel.find("guard")
+        self._membership = kernel.find("membership")
+        self._metrics = kernel.find("metrics")
+
+    @property
+    def state(self):
+        """ServerState last announced, or None."""
+        return self._state
+
+    @property
+    def is_drained(self):
+        """Whether a leaving backend server has nothing left to do."""
+        return (
+            self._state is ServerState.LEAVING and not self._guard.admission.in_flight
+        )
+
+    def announce(self, data):
+        """Take an announcement of the backend server.
+
+        Args:
+            data: Mapping with "service", "state" (cold, warm or leaving) and "slots".
+
+        Raises:
+            SettingsError: A field is missing or wrong.
+        """
+        state, slots = self._check(data)
+        with self._lock:
+            if self._is_stopping:
+                return
+            before, self._state = self._state, state
+            self._slots = slots
+        if state is ServerState.LEAVING:
+            if before is not ServerState.LEAVING:
+                self._executor.submit(self._leave)
+            return
+        self._guard.admission.announce(state is ServerState.COLD, slots)
+        if before is ServerState.LEAVING:
+            self._guard.admission.resume()
+        self._membership.publish(state, slots)
+
+    def hurry(self):
+        """Cut a planned stop short."""
+        self._hurry.set()
+
+    def finish_work(self):
+        """Leave the directory, finish what is in flight, and return what was cut.
+
+        Returns:
+            Requests still in flight when the time was up.
+        """
+        with self._lock:
+            self._is_stopping = True
+            announced, self._state = self._state is not None, ServerState.LEAVING
+        if announced:
+            self._leave()
+        deadline = self._clock.read_monotonic() + self._stop_timeout
+        while self._count_work() and not self._hurry.wait(POLL_SECONDS):
+            if self._clock.read_monotonic() >= deadline:
+                break
+        if announced:
+            self._membership.publish(ServerState.GONE, self._slots)
+            self._hurry.wait(self._notice / 2)
+        return self._count_work()
+
+    def _count_work(self):
+        return self._guard.admission.in_flight + self._metrics.active
+
+    def _leave(self):
+        """Tell all nodes, give the news time to spread, then refuse new work."""
+        self._log.info("leaving", server=self._identity.name)
+        self._membership.publish(ServerState.LEAVING, self._slots)
+        self._hurry.wait(self._notice)
+        if self._state is ServerState.LEAVING:
+            self._guard.admission.drain()
+
+    def _check(self, data):
+        if not isinstance(data, dict):
+            raise SettingsError("announcement: expected an object")
+        unknown = sorted(set(data) - {"service", "state", "slots"})
+        if unknown:
+            raise SettingsError(f"announcement: {unknown[0]}: unknown key")
+        if data.get("service") != self._identity.service:
+            raise SettingsError(
+                f"announcement: service: expected {self._identity.service!r}, "
+                f"not {data.get('service')!r}"
+            )
+        names = ("cold", "warm", "leaving")
+        if data.get("state") not in names:
+            raise SettingsError(
+                f"announcement: state: expected one of {', '.join(names)}"
+            )
+        slots = data.get("slots", self._slots)
+        if type(slots) is not int or not 1 <= slots <= MAX_SLOTS:
+            raise SettingsError(
+                f"announcement: slots: expected a whole number from 1 to {MAX_SLOTS}"
+            )
+        return ServerState(data["state"]), slots
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/linkpool.py
@@ -0,0 +1,113 @@
+"""Open links to other nodes, kept for the next exchange."""
+
+import threading
+
+from godwitrack.exceptions import LinkError
+from godwitrack.kernel import Service
+from godwitrack.link import open_link
+
+MAX_IDLE_FOR_ADDRESS = 8
+MAX_IDLE_SECONDS = 20.0
+
+
+class IdleLink:
+    """A link that waits for its next use.
+
+    Attributes:
+        link: The Link.
+        since: Monotonic time at which it was put back, in seconds.
+    """
+
+    __slots__ = ("link", "since")
+
+    def __init__(self, link, since):
+        self.link = link
+        self.since = since
+
+
+class LinkPool(Service):
+    """Lends links, newest first, so that surplus ones grow old and are closed."""
+
+    name = "link-pool"
+
+    def __init__(self, clock, authenticator, connect_timeout):
+        self._clock = clock
+        self._authenticator = authenticator
+        self._connect_timeout = connect_timeout
+        self._lock = threading.Lock()
+        self._idle = {}
+        self._opened = 0
+
+    def start(self, kernel):
+        """Do nothing; links are opened on demand."""
+
+    def stop(self):
+        """Close the idle links."""
+        with self._lock:
+            idle, self._idle = self._idle, {}
+        for items in idle.values():
+            for item in items:
+                item.link.close()
+
+    @property
+    def opened(self):
+        """Links opened so far."""
+        return self._opened
+
+    def acquire(self, address, timeout=None):
+        """Return a link to an address, reused or new.
+
+        Raises:
+            LinkError: The other node can't be reached; nothing was sent.
+        """
+        while True:
+            item = self._pop(address)
+            if item is None:
+                return self.open(address, timeout)
+            age = self._clock.read_monotonic() - item.since
+            if age <= MAX_IDLE_SECONDS and not item.link.has_input():
+                return item.link
+            item.link.close()
+
+    def open(self, address, timeout=None):
+        """Return a new link to an address.
+
+        Raises:
+            LinkError: The other node can't be reached.
+        """
+        limit = self._connect_timeout
+        if timeout is not None:
+            limit = min(limit, timeout)
+        if limit <= 0:
+            raise LinkError(f"{address}: no time left to connect")
+        link = open_link(address, self._authenticator, limit)
+        self._opened += 1
+        return link
+
+    def release(self, link):
+        """Put a link back whose exchange is complete."""
+        item = IdleLink(link, self._clock.read_monotonic())
+        with self._lock:
+            items = self._idle.setdefault(link.remote, [])
+            items.append(item)
+            surplus = items.pop(0) if len(items) > MAX_IDLE_FOR_ADDRESS else None
+        if surplus is not None:
+            surplus.link.close()
+
+    def expire(self):
+        """Close links that were idle for long."""
+        oldest = self._clock.read_monotonic() - MAX_IDLE_SECONDS
+        expired = []
+        with self._lock:
+            for address, items in list(self._idle.items()):
+                expired.extend(item for item in items if item.since < oldest)
+                items[:] = [item for item in items if item.since >= oldest]
+                if not items:
+                    del self._idle[address]
+        for item in expired:
+            item.link.close()
+
+    def _pop(self, address):
+        with self._lock:
+            items = self._idle.get(address)
+            return items.pop() if items else None
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -0,0 +1,122 @@
+"""Accepts links of other nodes and hands their messages to the services."""
+
+from godwitrack.exceptions import (
+    CallerGone,
+    ErrorKind,
+    LinkError,
+    MessageError,
+    RequestError,
+)
+from godwitrack.kernel import Service
+from godwitrack.link import accept_link
+from godwitrack.logs import find_logger
+from godwitrack.messages import Call, Outcome, Query, Refused, check_headers
+from godwitrack_node.exchange import LinkSink, LinkSource
+from godwitrack_node.httpserver import ConnectionServer
+from godwitrack_node.ledger import KeptAnswer
+from godwitrack_node.membership import Session
+
+HANDSHAKE_SECONDS = 5.0
+IDLE_SECONDS = 60.0
+SEND_SECONDS = 20.0
+MAX_LINKS = 4096
+NO_ANSWER = KeptAnswer(0, [], b"")
+
+
+class LinkServer(Service):
+    """Serves links, one thread for each."""
+
+    name = "link-server"
+
+    def __init__(self, executor, address, authenticator, budget):
+        self._executor = executor
+        self._authenticator = authenticator
+        self._budget = budget
+        self._server = ConnectionServer(executor, address, self._serve, MAX_LINKS)
+        self._guard = None
+        self._membership = None
+        self._metrics = None
+        self._log = find_logger("links")
+
+    @property
+    def advertised(self):
+        """The "host:port" at which other nodes connect."""
+        return f"{self._server.address[0]}:{self._server.address[1]}"
+
+    def start(self, kernel):
+        """Begin to accept links."""
+        self._guard = kernel.find("guard")
+        self._membership = kernel.find("membership")
+        self._metrics = kernel.find("metrics")
+        self._server.start()
+
+    def stop(self):
+        """Close the port and every link."""
+        self._server.close()
+        self._server.interrupt()
+
+    def _serve(self, sock, remote):
+        try:
+            link = accept_link(sock, remote, self._authenticator, HANDSHAKE_SECONDS)
+        except (LinkError, MessageError) as error:
+            self._metrics.count_bad_input("link")
+            self._log.info("link not accepted", remote=remote, error=str(error))
+            return
+        try:
+            self._serve_link(link)
+        except MessageError as error:
+            self._metrics.count_bad_input("link")
+            self._log.warning("link closed", remote=remote, error=str(error))
+        except (LinkError, CallerGone):
+            pass
+        except Exception:
+            self._log.exception("link closed", remote=remote)
+        finally:
+            link.abort()
+
+    def _serve_link(self, link):
+        session = Session()
+        while True:
+            message = link.receive(IDLE_SECONDS)
+            if type(message) is Call:
+                self._serve_call(link, message)
+            elif type(message) is Query:
+                self._serve_query(link, message)
+            else:
+                self._serve_control(link, message, session)
+
+    def _serve_call(self, link, call):
+        check_headers(call.headers)
+        sink = LinkSink(link, call.request_id, self._guard.read_load)
+        source = LinkSource(link)
+        try:
+            self._guard.run(call, source, sink)
+        except RequestError as error:
+            failure = error
+        except (LinkError, CallerGone, MessageError):
+            raise
+        except Exception:
+            self._log.exception("call failed", request_id=call.request_id)
+            failure = RequestError(ErrorKind.INTERNAL)
+        else:
+            return
+        load = self._guard.read_load().to_data()
+        link.send(Refused(failure.kind.value, failure.detail, load), SEND_SECONDS)
+        if sink.is_started or source.is_open:
+            raise CallerGone("the exchange broke off")
+
+    def _serve_query(self, link, query):
+        state, answer = self._guard.query(query.request_id, query.incarnation)
+        kept = answer or NO_ANSWER
+        link.send(
+            Outcome(state.value, kept.status, kept.headers, kept.body), SEND_SECONDS
+        )
+
+    def _serve_control(self, link, message, session):
+        sent, received = link.sent_bytes, link.received_bytes
+        link.send(self._membership.answer(message, session), SEND_SECONDS)
+        self._budget.count(
+            session.is_regional,
+            link.sent_bytes - sent,
+            link.received_bytes - received,
+        )
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -0,0 +1,556 @@
+"""Membership: heartbeats between peers, which spread news and notice silence."""
+
+import threading
+
+from godwitrack.exceptions import GodwitrackError, LinkError, MessageError
+from godwitrack.hashing import hash_text
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack.messages import (
+    Changes,
+    ChangesRequest,
+    DigestRequest,
+    Ping,
+    Pong,
+    Probe,
+    ProbeResult,
+    Records,
+)
+from godwitrack_node.directory import BUCKETS, ServerRecord, ServerState
+
+RING_PEERS = 2
+MESH_PEERS = 2
+BRIDGES = 2
+MAX_NEWS = 64
+RECORD_BYTES = 130
+REPAIR_ROUNDS = 3
+PLAN_SECONDS = 2.0
+MIN_PING_GAP_SECONDS = 0.05
+PROBE_HELPERS = 2
+REGIONAL_LINK_BYTES_PER_SECOND = 30_000_000 / 8
+REGIONAL_CONTROL_SHARE = 0.01
+
+
+class Peer:
+    """One node to which heartbeats are sent.
+
+    Attributes:
+        name: Its name, or its address where it is a seed not yet known by name.
+        address: "host:port" of its links.
+        is_regional: Whether it is in another region.
+        wake: Event that starts the next heartbeat at once.
+        is_stopped: Whether the task of this peer must end.
+        misses: Heartbeats missed in a row.
+    """
+
+    __slots__ = ("address", "is_regional", "is_stopped", "misses", "name", "wake")
+
+    def __init__(self, name, address, is_regional):
+        self.name = name
+        self.address = address
+        self.is_regional = is_regional
+        self.wake = threading.Event()
+        self.is_stopped = False
+        self.misses = 0
+
+
+class Session:
+    """What the accepting side keeps for one control link.
+
+    Attributes:
+        position: Position in the directory's log up to which news were sent.
+        sender: Name of the node at the other side.
+        is_regional: Whether it is in another region.
+    """
+
+    __slots__ = ("is_regional", "position", "sender")
+
+    def __init__(self):
+        self.position = None
+        self.sender = ""
+        self.is_regional = False
+
+
+class Membership(Service):
+    """Keeps the directory alike at all nodes.
+
+    Each node sends heartbeats to the next RING_PEERS nodes of its region on a ring
+    of hashed names, so that each node is watched, and to MESH_PEERS nodes at
+    pseudo-random places, so that news need few hops. A few nodes of each data
+    centre do the same with each data centre of other regions.
+    """
+
+    name = "membership"
+
+    def __init__(self, clock, executor, identity, settings, lease, budget):
+        self._clock = clock
+        self._executor = executor
+        self._identity = identity
+        self._lease = lease
+        self.budget = budget
+        self._seeds = [str(address) for address in settings.get("peers.seeds")]
+        self._interval = settings.get_seconds("peers.ping_interval_ms")
+        self._silent_after = settings.get("peers.silent_after")
+        self._lock = threading.Lock()
+        self._peers = {}
+        self._planned_version = None
+        self._planned_at = 0.0
+        self._is_stopped = False
+        self._own_record = None
+        self._own_address = ""
+        self._directory = None
+        self._configurations = None
+        self._pool = None
+        self._rendezvous = None
+        self._log = find_logger("membership")
+        self.is_superseded = False
+
+    def start(self, kernel):
+        """Begin to send heartbeats."""
+        self._directory = kernel.find("directory")
+        self._configurations = kernel.find("configurations")
+        self._pool = kernel.find("link-pool")
+        self._rendezvous = kernel.find("rendezvous")
+        self._own_address = kernel.find("link-server").advertised
+        self._directory.add_listener(self._notice_own_record)
+        self._directory.add_listener(self._notice_operators)
+        self._configurations.add_listener(lambda _: self.wake_peers())
+        scheduler = kernel.find("scheduler")
+        scheduler.add(0.2, self._beat)
+        scheduler.add(0.5, self.plan_peers)
+        scheduler.add(10.0, self._directory.expire)
+        self.plan_peers()
+
+    def stop(self):
+        """Send no more heartbeats."""
+        with self._lock:
+            self._is_stopped = True
+            for peer in self._peers.values():
+                peer.is_stopped = True
+                peer.wake.set()
+
+    @property
+    def own_record(self):
+        """The node's own ServerRecord, or None before the first announcement."""
+        return self._own_record
+
+    @property
+    def peers(self):
+        """The Peers to which heartbeats are sent, as a list."""
+        with self._lock:
+            return list(self._peers.values())
+
+    def count_nodes(self):
+        """Return the number of nodes known, this one included."""
+        return max(len(self._directory.list_servers()), 1)
+
+    def publish(self, state, slots):
+        """Tell all nodes the state of the own backend server.
+
+        Args:
+            state: ServerState.
+            slots: Most requests at once when warm.
+        """
+        with self._lock:
+            held = self._own_record
+            if held is not None and (held.state, held.slots) == (state, slots):
+                return
+            version = 1 if held is None else held.version + 1
+            record = self._make_record(state, slots, version)
+            self._own_record = record
+        self._directory.merge(record)
+        self.wake_peers()
+
+    def wake_peers(self):
+        """Send the next heartbeat to each peer at once."""
+        for peer in self.peers:
+            peer.wake.set()
+
+    def answer(self, message, session):
+        """Return the answer to a control message of another node.
+
+        Args:
+            message: Ping, Records, DigestRequest, Changes, ChangesRequest or Probe.
+            session: Session of the link.
+
+        Raises:
+            MessageError: The message is of another type or has a wrong content.
+        """
+        kind = type(message)
+        if kind is Ping:
+            return self._answer_ping(message, session)
+        if kind is DigestRequest:
+            return self._answer_digests(message, session)
+        if kind is Records:
+            self._merge_all(message.records, session.sender)
+            return self.make_ping(Pong, [])
+        if kind is ChangesRequest:
+            return self._configurations.list_changes(message.after)
+        if kind is Changes:
+            self._configurations.take_changes(message)
+            return self.make_ping(Pong, [])
+        if kind is Probe:
+            return ProbeResult(self._probe(message.address))
+        raise MessageError(f"{kind.__name__} is not expected here")
+
+    def plan_peers(self):
+        """Choose the peers anew if the directory changed."""
+        now = self._clock.read_monotonic()
+        version = self._directory.version
+        if self._peers and (
+            version == self._planned_version or now - self._planned_at < PLAN_SECONDS
+        ):
+            return
+        self._planned_version = version
+        self._planned_at = now
+        records = self._directory.list_servers()
+        chosen = choose_peers(records, self._identity)
+        self._set_regional_rate(records)
+        wanted = {
+            record.name: Peer(
+                record.name, record.address, record.region != self._identity.region
+            )
+            for record in chosen
+        }
+        if not wanted:
+            wanted.update(self._make_seed_peers())
+        self._replace_peers(wanted)
+
+    def _make_seed_peers(self):
+        addresses = {*self._seeds, *self._rendezvous.list_addresses()}
+        return {
+            address: Peer(address, address, False)
+            for address in sorted(addresses)
+            if address != self._own_address
+        }
+
+    def _replace_peers(self, wanted):
+        started = []
+        with self._lock:
+            if self._is_stopped:
+                return
+            for name, peer in list(self._peers.items()):
+                if name not in wanted or wanted[name].address != peer.address:
+                    peer.is_stopped = True
+                    peer.wake.set()
+                    del self._peers[name]
+            for name, peer in wanted.items():
+                if name not in self._peers:
+                    self._peers[name] = peer
+                    started.append(peer)
+        for peer in started:
+            self._executor.submit(self._run_peer, peer)
+        if not wanted:
+            self._configurations.note_no_peers()
+
+    def _set_regional_rate(self, records):
+        bridges = BRIDGES * len({record.data_centre for record in records})
+        rate = REGIONAL_LINK_BYTES_PER_SECOND * REGIONAL_CONTROL_SHARE
+        self.budget.set_regional_rate(rate / max(bridges, 1))
+
+    def _run_peer(self, peer):
+        task = _PeerTask(self, peer)
+        while not peer.is_stopped:
+            task.beat()
+            peer.wake.wait(self._interval)
+            if peer.wake.is_set():
+                peer.wake.clear()
+                self._clock.sleep(MIN_PING_GAP_SECONDS)
+        task.close()
+
+    def _beat(self):
+        self._lease.beat()
+        if self._lease.is_lapsed:
+            self.wake_peers()
+            if not self._peers:
+                self._lease.renew(self._clock.read_monotonic())
+
+    def make_ping(self, kind, records):
+        """Return a Ping or Pong with the given ServerRecords as news."""
+        return kind(
+            self._identity.name,
+            self._identity.incarnation,
+            self._directory.compute_digest(),
+            self._configurations.current.revision,
+            [record.to_data() for record in records],
+        )
+
+    def _read_news(self, position, reader, is_regional):
+        """Return the new position and the news that the budget allows."""
+        allowance = self.budget.find_allowance(is_regional) // RECORD_BYTES
+        limit = min(allowance, MAX_NEWS)
+        if limit <= 0:
+            return position, []
+        return self._directory.read_log(position, limit, reader)
+
+    def _answer_ping(self, message, session):
+        session.sender = message.sender
+        sender = self._directory.find(message.sender)
+        session.is_regional = (
+            sender is not None and sender.region != self._identity.region
+        )
+        self._merge_all(message.records, message.sender)
+        if session.position is None:
+            session.position = self._find_log_end()
+        session.position, records = self._read_news(
+            session.position, message.sender, session.is_regional
+        )
+        return self.make_ping(Pong, records)
+
+    def _answer_digests(self, message, session):
+        own = self._directory.list_digests()
+        if len(message.digests) != BUCKETS:
+            raise MessageError(f"expected {BUCKETS} digests")
+        allowance = self.budget.find_allowance(session.is_regional)
+        buckets, records = [], []
+        for bucket, digest in enumerate(message.digests):
+            if digest == own[bucket]:
+                continue
+            if buckets and len(records) * RECORD_BYTES > allowance:
+                break
+            buckets.append(bucket)
+            records.extend(self._directory.list_bucket(bucket))
+        return Records(buckets, [record.to_data() for record in records])
+
+    def _merge_all(self, items, source):
+        for item in items:
+            try:
+                record = ServerRecord.from_data(item)
+            except ValueError as error:
+                raise MessageError(f"record of a wrong shape: {error}") from None
+            self._directory.merge(record, source)
+
+    def _find_log_end(self):
+        return self._directory.read_log(2**62, 0, "")[0]
+
+    def _make_record(self, state, slots, version):
+        return ServerRecord(
+            self._identity.name,
+            self._identity.service,
+            self._identity.region,
+            self._identity.data_centre,
+            self._own_address,
+            slots,
+            state,
+            self._identity.incarnation,
+            version,
+        )
+
+    def _notice_operators(self, record):
+        if record.is_notice:
+            self.wake_peers()
+
+    def _notice_own_record(self, record):
+        """Contradict a wrong word about the own backend server."""
+        own = self._own_record
+        if record.name != self._identity.name or record is own:
+            return
+        if own is None and record.incarnation >= self._identity.incarnation:
+            # The clock of this VM runs behind that of the one it replaced.
+            self._identity.incarnation = record.incarnation + 1
+            return
+        if own is None or record.order < own.order:
+            return
+        if record.incarnation > own.incarnation:
+            self._log.error("superseded by a later instance of the same name")
+            self.is_superseded = True
+            return
+        with self._lock:
+            self._own_record = own.replace(version=record.version + 1)
+        self._directory.merge(self._own_record)
+
+    def _suspect(self, peer):
+        """Mark a peer as silent if others can't reach it either."""
+        record = self._directory.find(peer.name)
+        if record is None or peer.is_regional or not record.state.is_serving:
+            return
+        others = [item for item in self.peers if item is not peer]
+        heard = [item for item in others if item.misses == 0]
+        if others and len(heard) * 2 < len(others):
+            # Most peers being out of reach, the fault is more likely here.
+            return
+        if any(self._ask_probe(item, peer) for item in heard[:PROBE_HELPERS]):
+            return
+        newest = self._directory.find(peer.name)
+        if newest is record and peer.misses >= self._silent_after:
+            self._log.warning("peer is silent", peer=peer.name)
+            silent = record.replace(
+                state=ServerState.SILENT, version=record.version + 1
+            )
+            self._directory.merge(silent)
+
+    def _ask_probe(self, helper, peer):
+        try:
+            link = self._pool.acquire(helper.address, self._interval)
+            link.send(Probe(peer.address), self._interval)
+            result = link.receive(3 * self._interval)
+        except (LinkError, MessageError):
+            return False
+        self._pool.release(link)
+        return type(result) is ProbeResult and result.alive
+
+    def _probe(self, address):
+        try:
+            link = self._pool.open(address, self._interval)
+            link.send(self.make_ping(Ping, []), self._interval)
+            link.receive(self._interval)
+        except (LinkError, MessageError):
+            return False
+        self._pool.release(link)
+        return True
+
+
+class _PeerTask:
+    """The exchange of heartbeats with one peer, in a thread of its own."""
+
+    def __init__(self, membership, peer):
+        self._membership = membership
+        self._peer = peer
+        self._directory = membership._directory
+        self._configurations = membership._configurations
+        self._link = None
+        self._position = membership._find_log_end()
+        self._differing_rounds = REPAIR_ROUNDS
+        self._counted = (0, 0)
+
+    def beat(self):
+        """Send one heartbeat and take what comes back."""
+        peer = self._peer
+        started = self._membership._clock.read_monotonic()
+        try:
+            self._exchange()
+        except (LinkError, MessageError, GodwitrackError) as error:
+            self.close()
+            peer.misses += 1
+            if peer.misses == self._membership._silent_after:
+                self._membership._log.info(
+                    "peer does not answer", peer=peer.name, error=str(error)
+                )
+            if peer.misses >= self._membership._silent_after:
+                self._membership._suspect(peer)
+            return
+        peer.misses = 0
+        self._configurations.note_peer_answer()
+        self._membership._lease.renew(started)
+
+    def close(self):
+        """Close the link."""
+        if self._link is not None:
+            self._count()
+            self._link.abort()
+            self._link = None
+
+    def _exchange(self):
+        membership = self._membership
+        timeout = membership._interval
+        if self._link is None:
+            self._link = membership._pool.open(self._peer.address, timeout)
+            self._counted = (0, 0)
+        position, records = membership._read_news(
+            self._position, self._peer.name, self._peer.is_regional
+        )
+        self._link.send(membership.make_ping(Ping, records), timeout)
+        pong = self._link.receive(timeout)
+        if type(pong) is not Pong:
+            raise MessageError("expected a Pong")
+        self._position = position
+        membership._merge_all(pong.records, pong.sender)
+        self._align_configuration(pong)
+        self._align_directory(pong)
+        self._count()
+
+    def _align_configuration(self, pong):
+        own = self._configurations.current.revision
+        if pong.revision > own:
+            self._configurations.pull(self._link)
+        elif pong.revision < own:
+            self._link.send(self._configurations.list_changes(pong.revision), 5.0)
+            self._link.receive(5.0)
+
+    def _align_directory(self, pong):
+        """Compare the directories, and repair them where news were not enough."""
+        if pong.digest == self._directory.compute_digest():
+            self._differing_rounds = 0
+            return
+        self._differing_rounds += 1
+        if self._differing_rounds <= REPAIR_ROUNDS:
+            return
+        self._differing_rounds = 0
+        self._link.send(DigestRequest(self._directory.list_digests()), 5.0)
+        answer = self._link.receive(5.0)
+        if type(answer) is not Records:
+            raise MessageError("expected Records")
+        self._membership._merge_all(answer.records, pong.sender)
+        theirs = {item[0]: tuple(item[7:]) for item in answer.records}
+        missing = []
+        for bucket in answer.buckets:
+            for record in self._directory.list_bucket(int(bucket)):
+                newest = (record.incarnation, record.version)
+                if theirs.get(record.name) != newest:
+                    missing.append(record.to_data())
+        if missing:
+            self._link.send(Records([], missing), 5.0)
+            self._link.receive(5.0)
+
+    def _count(self):
+        sent, received = self._link.sent_bytes, self._link.received_bytes
+        self._membership.budget.count(
+            self._peer.is_regional,
+            sent - self._counted[0],
+            received - self._counted[1],
+        )
+        self._counted = (sent, received)
+
+
+def choose_peers(records, identity):
+    """Return the records of the nodes to which a node sends heartbeats.
+
+    Args:
+        records: ServerRecords of all nodes known.
+        identity: Identity of the node that chooses.
+    """
+    alive = [
+        record
+        for record in records
+        if record.state is not ServerState.SILENT and record.name != identity.name
+    ]
+    near = [record for record in alive if record.region == identity.region]
+    chosen = {record.name: record for record in _choose_ring(near, identity.name)}
+    for record in _choose_mesh(near, identity.name):
+        chosen[record.name] = record
+    for record in _choose_bridged(alive, identity):
+        chosen[record.name] = record
+    return list(chosen.values())
+
+
+def _choose_ring(records, name):
+    """Return the nodes that follow a name on the ring of hashed names."""
+    own = hash_text(name)
+    ordered = sorted(records, key=lambda record: (hash_text(record.name) - own) % 2**64)
+    return ordered[:RING_PEERS]
+
+
+def _choose_mesh(records, name):
+    """Return the nodes with the lowest hash together with a name."""
+    ordered = sorted(records, key=lambda record: hash_text(record.name + name))
+    return ordered[:MESH_PEERS]
+
+
+def _choose_bridged(records, identity):
+    """Return the nodes of other regions with which a bridge keeps contact."""
+    own = hash_text("bridge" + identity.name)
+    lower = sum(
+        record.data_centre == identity.data_centre
+        and hash_text("bridge" + record.name) < own
+        for record in records
+    )
+    if lower >= BRIDGES:
+        return []
+    far = {}
+    for record in records:
+        if record.region != identity.region:
+            far.setdefault(record.data_centre, []).append(record)
+    return [
+        min(group, key=lambda record: hash_text(record.name + identity.name))
+        for group in far.values()
+    ]
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/metrics.py
@@ -0,0 +1,217 @@
+"""Metrics in the Prometheus format, with histograms for each customer and class."""
+
+import collections
+import contextlib
+import threading
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from godwitrack.kernel import Service
+
+MAX_CUSTOMERS = 200
+OTHER_CUSTOMER = "other"
+FLUSH_SECONDS = 1.0
+PENDING_LIMIT = 100_000
+LATENCY_BUCKETS = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+class Sample:
+    """What the metrics keep of one request.
+
+    Attributes:
+        customer: Name of the customer, or "".
+        request_class: Name of the class, or "".
+        kind: ErrorKind, or None.
+        status: HTTP status.
+        attempts: Attempts made.
+        seconds: Time from the request's arrival to the end of its answer.
+    """
+
+    __slots__ = (
+        "attempts",
+        "customer",
+        "kind",
+        "request_class",
+        "seconds",
+        "status",
+    )
+
+    def __init__(self, errand, seconds):
+        self.customer = errand.customer
+        self.request_class = errand.request_class
+        self.kind = errand.kind
+        self.status = errand.status
+        self.attempts = errand.attempts
+        self.seconds = seconds
+
+
+class Metrics(Service):
+    """Counts requests; the request path only appends to a queue."""
+
+    name = "metrics"
+
+    def __init__(self, clock, budget, lease):
+        self._clock = clock
+        self._budget = budget
+        self._lease = lease
+        self._pending = collections.deque(maxlen=PENDING_LIMIT)
+        self._lock = threading.Lock()
+        self._active = 0
+        self._customers = set()
+        self._kernel = None
+        self._registry = Registry()
+        self._make_collectors()
+
+    def start(self, kernel):
+        """Begin to take the queue over."""
+        self._kernel = kernel
+        kernel.find("scheduler").add(FLUSH_SECONDS, self.flush)
+
+    @property
+    def active(self):
+        """Callers' requests in progress."""
+        return self._active
+
+    @contextlib.contextmanager
+    def track_request(self):
+        """Count a caller's request as in progress."""
+        with self._lock:
+            self._active += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._active -= 1
+
+    def record_request(self, errand):
+        """Count a request that ended."""
+        seconds = self._clock.read_monotonic() - errand.received_at
+        self._pending.append(Sample(errand, seconds))
+
+    def count_bad_input(self, port):
+        """Count input that was no well-formed request or message.
+
+        Args:
+            port: "http" or "link".
+        """
+        self._bad_input.inc({"port": port})
+
+    def count_caller_gone(self):
+        """Count a caller that left before its answer was complete."""
+        self._caller_gone.inc({})
+
+    def flush(self):
+        """Take over what the request path put in the queue."""
+        with self._lock:
+            while self._pending:
+                self._record(self._pending.popleft())
+
+    def render(self, accepts):
+        """Return the body and headers of a scrape.
+
+        Args:
+            accepts: Values of the Accept header, a list.
+        """
+        self.flush()
+        self._set_gauges()
+        return render(self._registry, accepts)
+
+    def _make_collectors(self):
+        self._latency = Histogram(
+            "godwitrack_request_seconds",
+            "Time to answer a caller, by customer and class",
+            buckets=list(LATENCY_BUCKETS),
+        )
+        self._requests = Counter(
+            "godwitrack_requests_total", "Requests by customer, class and status"
+        )
+        self._errors = Counter("godwitrack_errors_total", "Error answers by kind")
+        self._retries = Counter(
+            "godwitrack_retries_total", "Attempts after the first of a request"
+        )
+        self._bad_input = Counter(
+            "godwitrack_bad_input_total", "Input that was not well formed, by port"
+        )
+        self._caller_gone = Counter(
+            "godwitrack_callers_gone_total", "Callers that left before their answer"
+        )
+        self._control = Gauge(
+            "godwitrack_control_bytes", "Control bytes by direction and scope"
+        )
+        self._state = Gauge("godwitrack_state", "State of the node, by name")
+        for collector in (
+            self._latency,
+            self._requests,
+            self._errors,
+            self._retries,
+            self._bad_input,
+            self._caller_gone,
+            self._control,
+            self._state,
+        ):
+            self._registry.register(collector)
+
+    def _record(self, sample):
+        customer = self._bound_customer(sample.customer)
+        request_class = sample.request_class or "none"
+        labels = {"customer": customer, "class": request_class}
+        self._latency.observe(labels, sample.seconds)
+        self._requests.inc({**labels, "status": str(sample.status)})
+        if sample.kind is not None:
+            self._errors.inc({"kind": sample.kind.value})
+        if sample.attempts > 1:
+            self._retries.add({}, sample.attempts - 1)
+
+    def _bound_customer(self, customer):
+        """Return a label for a customer, of which there are only so many."""
+        name = customer or "unknown"
+        if name in self._customers:
+            return name
+        if len(self._customers) >= MAX_CUSTOMERS:
+            return OTHER_CUSTOMER
+        self._customers.add(name)
+        return name
+
+    def _set_gauges(self):
+        for direction, counts in (
+            ("sent", self._budget.sent),
+            ("received", self._budget.received),
+        ):
+            for scope, count in counts.items():
+                self._control.set({"direction": direction, "scope": scope}, count)
+        for name, value in self._read_state().items():
+            self._state.set({"name": name}, value)
+
+    def _read_state(self):
+        guard = self._kernel.find("guard")
+        configurations = self._kernel.find("configurations")
+        entry = self._kernel.find("entry")
+        return {
+            "in_flight": guard.admission.in_flight,
+            "queued": guard.admission.queued,
+            "limit": guard.admission.limit,
+            "ledger_entries": len(guard.ledger),
+            "revision": configurations.current.revision,
+            "store_reads": configurations.store_reads,
+            "store_failures": configurations.store_failures,
+            "servers_known": len(self._kernel.find("directory").list_servers()),
+            "peers": len(self._kernel.find("membership").peers),
+            "retry_balance": entry.retry_budget.balance,
+            "lease_lapses": self._lease.lapses,
+            "links_opened": self._kernel.find("link-pool").opened,
+        }
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/node.py
@@ -0,0 +1,159 @@
+"""The node: wires the services together, and starts and stops them."""
+
+import concurrent.futures
+import sys
+import threading
+
+from godwitrack.clock import SystemClock
+from godwitrack.kernel import Kernel
+from godwitrack.link import Authenticator
+from godwitrack.logs import find_logger
+from godwitrack.store import HttpObjectStore, HttpTableService
+from godwitrack_node.budget import ControlBudget
+from godwitrack_node.callers import Callers
+from godwitrack_node.configurations import Configurations
+from godwitrack_node.context import ContextSigner
+from godwitrack_node.directory import Directory
+from godwitrack_node.entry import Entry
+from godwitrack_node.exclusions import ExclusionRegister
+from godwitrack_node.fleet import Fleet
+from godwitrack_node.guard import Guard
+from godwitrack_node.identity import Identity
+from godwitrack_node.lease import Lease
+from godwitrack_node.lifecycle import Lifecycle
+from godwitrack_node.linkpool import LinkPool
+from godwitrack_node.linkserver import MAX_LINKS, LinkServer
+from godwitrack_node.membership import (
+    REGIONAL_CONTROL_SHARE,
+    REGIONAL_LINK_BYTES_PER_SECOND,
+    Membership,
+)
+from godwitrack_node.metrics import Metrics
+from godwitrack_node.operators import OperatorsPort
+from godwitrack_node.orders import Orders
+from godwitrack_node.rendezvous import Rendezvous
+from godwitrack_node.requestlog import RequestLog
+from godwitrack_node.routing import Location, Router
+from godwitrack_node.scheduler import Scheduler
+
+SWITCH_INTERVAL_SECONDS = 0.0005
+STACK_BYTES = 512 * 1024
+SERVICE_THREADS = 64
+
+
+class Node:
+    """One node, from its settings to its end.
+
+    Attributes:
+        kernel: Kernel with all services.
+        identity: Identity of the node.
+    """
+
+    def __init__(self, settings, clock=None, tables=None, objects=None):
+        """Make all services without starting any.
+
+        Args:
+            settings: Settings.
+            clock: Clock; the machine's by default.
+            tables: TableService; that of the settings by default.
+            objects: ObjectStore; that of the settings by default.
+        """
+        self._clock = clock or SystemClock()
+        self._log = find_logger("node")
+        self._stop_asked = threading.Event()
+        timeout = settings.get_seconds("platform.timeout_ms")
+        url = settings.get("platform.tables")
+        self._tables = tables or HttpTableService(url, timeout)
+        url = settings.get("platform.objects")
+        self._objects = objects or HttpObjectStore(url, timeout)
+        connections = settings.get("requests.connections")
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            connections + MAX_LINKS + SERVICE_THREADS, "godwitrack"
+        )
+        self.identity = Identity(
+            settings.get("node.name"),
+            settings.get("node.service"),
+            settings.get("node.region"),
+            settings.get("node.data_centre"),
+            int(self._clock.read_wall() * 1_000_000),
+        )
+        self.kernel = Kernel()
+        self._register(settings)
+
+    def start(self):
+        """Start all services."""
+        sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
+        self.kernel.start()
+        self._log.info(
+            "node started",
+            node=self.identity.name,
+            incarnation=self.identity.incarnation,
+            callers=_format(self.kernel.find("callers").address),
+            operators=_format(self.kernel.find("operators").address),
+            links=self.kernel.find("link-server").advertised,
+        )
+
+    def ask_stop(self):
+        """Ask for a planned stop; asked again, for one without delay."""
+        if self._stop_asked.is_set():
+            self.kernel.find("lifecycle").hurry()
+        self._stop_asked.set()
+
+    def wait_stop(self, timeout=None):
+        """Wait until a stop is asked for; returns whether it was."""
+        return self._stop_asked.wait(timeout)
+
+    def stop(self):
+        """Finish the work in flight and stop; returns the requests cut off."""
+        cut = self.kernel.find("lifecycle").finish_work()
+        self.kernel.stop()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._log.info("node stopped", node=self.identity.name, requests_cut=cut)
+        return cut
+
+    def _register(self, settings):
+        clock, executor, identity = self._clock, self._executor, self.identity
+        secret = settings.get("links.secret")
+        authenticator = Authenticator(secret, clock)
+        signer = ContextSigner(secret, identity.incarnation)
+        lease = Lease(clock)
+        budget = ControlBudget(
+            clock,
+            settings.get("peers.control_bytes_per_second"),
+            REGIONAL_LINK_BYTES_PER_SECOND * REGIONAL_CONTROL_SHARE,
+        )
+        location = Location(identity.region, identity.data_centre)
+        connect_timeout = settings.get_seconds("links.connect_timeout_ms")
+        fleet_reads = settings.get("platform.fleet_reads_per_second")
+        share = settings.get("logs.request_share")
+        for service in (
+            Scheduler(clock, executor),
+            Metrics(clock, budget, lease),
+            Directory(clock),
+            LinkPool(clock, authenticator, connect_timeout),
+            LinkServer(executor, settings.get("listen.links"), authenticator, budget),
+            Rendezvous(clock, executor, self._tables, identity),
+            Configurations(clock, executor, self._tables, self._objects, fleet_reads),
+            Membership(clock, executor, identity, settings, lease, budget),
+            ExclusionRegister(clock, identity),
+            Orders(clock),
+            Router(clock, location),
+            Guard(clock, identity, settings, signer, lease),
+            Entry(clock, identity, settings, signer),
+            RequestLog(clock, identity, share),
+            Lifecycle(clock, executor, identity, settings),
+            Fleet(identity),
+            OperatorsPort(
+                settings.get("listen.operators"), settings.get("operators.token")
+            ),
+            Callers(
+                executor,
+                settings.get("listen.callers"),
+                settings.get("requests.connections"),
+            ),
+        ):
+            self.kernel.register(service)
+
+
+def _format(address):
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/rendezvous.py
@@ -0,0 +1,80 @@
+"""The rendezvous: where nodes that know no peer find the first ones."""
+
+import random
+import threading
+
+from godwitrack.exceptions import ConflictError, StoreError
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+
+TABLE = "members"
+PAGE_ROWS = 8
+RETRY_SECONDS = 5.0
+
+
+class Rendezvous(Service):
+    """Writes the node's address on joining and removes it on a planned stop.
+
+    Rows are written only then, never to renew anything: at 2,300 restarts a day
+    that is one write in 19 seconds for the whole fleet. Rows of VMs that failed
+    stay until their name joins again; whoever reads them tries several.
+    """
+
+    name = "rendezvous"
+
+    def __init__(self, clock, executor, tables, identity, rng=None):
+        self._clock = clock
+        self._executor = executor
+        self._tables = tables
+        self._identity = identity
+        self._rng = rng or random.Random()
+        self._addresses = ()
+        self._address = ""
+        self._stopped = threading.Event()
+        self._log = find_logger("rendezvous")
+
+    def start(self, kernel):
+        """Read a few addresses and write the own one, as soon as the store lets."""
+        self._address = kernel.find("link-server").advertised
+        self._executor.submit(self._join)
+
+    def stop(self):
+        """Remove the own address."""
+        self._stopped.set()
+        try:
+            row = self._tables.read_row(TABLE, self._identity.name)
+            if row.value and row.value.get("address") == self._address:
+                name = self._identity.name
+                self._tables.commit(TABLE, {name: row.version}, {name: None})
+        except (StoreError, ConflictError):
+            # A row that stays is harmless; see the class.
+            self._log.info("address not removed from the table")
+
+    def list_addresses(self):
+        """Return addresses of nodes that joined earlier."""
+        return self._addresses
+
+    def _join(self):
+        wait = 0.0
+        while not self._stopped.wait(wait):
+            try:
+                self._read_addresses()
+                self._write_address()
+                return
+            except (StoreError, ConflictError) as error:
+                self._log.warning("address not written", error=str(error))
+            wait = RETRY_SECONDS * self._rng.uniform(1.0, 3.0)
+
+    def _read_addresses(self):
+        start = self._rng.choice("abcdefghijklmnopqrstuvwxyz0123456789")
+        rows = self._tables.read_rows(TABLE, start, PAGE_ROWS)
+        rows += self._tables.read_rows(TABLE, "", PAGE_ROWS)
+        self._addresses = tuple(
+            row.value["address"] for row in rows if row.key != self._identity.name
+        )
+
+    def _write_address(self):
+        name = self._identity.name
+        row = self._tables.read_row(TABLE, name)
+        value = {"address": self._address, "incarnation": self._identity.incarnation}
+        self._tables.commit(TABLE, {name: row.version}, {name: value})
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,70 @@
+"""Tests of the ledger of started requests."""
+
+import pytest
+
+from godwitrack.exceptions import DuplicateRequest, ErrorKind, RequestError
+from godwitrack_node.ledger import (
+    KEPT_BODY_BYTES,
+    RETENTION_SECONDS,
+    KeptAnswer,
+    Ledger,
+    OutcomeState,
+)
+
+
+def test_a_request_that_was_asked_about_first_can_never_start(clock):
+    ledger = Ledger(clock)
+    assert ledger.query("a").state is OutcomeState.FENCED
+    with pytest.raises(RequestError) as caught:
+        ledger.claim("a")
+    assert caught.value.kind is ErrorKind.FENCED
+    assert caught.value.answer.not_run
+
+
+def test_a_second_copy_is_refused_without_saying_not_run(clock):
+    ledger = Ledger(clock)
+    ledger.claim("a")
+    with pytest.raises(DuplicateRequest) as caught:
+        ledger.claim("a")
+    assert not caught.value.answer.not_run
+
+
+@pytest.mark.parametrize(
+    ("act", "state"),
+    [
+        (lambda ledger: None, OutcomeState.RUNNING),
+        (lambda ledger: ledger.finish("a", None), OutcomeState.FINISHED),
+        (lambda ledger: ledger.fail("a"), OutcomeState.BROKEN),
+        (lambda ledger: ledger.withdraw("a"), OutcomeState.FENCED),
+    ],
+)
+def test_a_query_tells_the_state_and_changes_nothing(clock, act, state):
+    ledger = Ledger(clock)
+    ledger.claim("a")
+    act(ledger)
+    assert ledger.query("a").state is state
+    assert ledger.query("a").state is state
+    with pytest.raises(RequestError):
+        ledger.claim("a")
+
+
+def test_answers_are_kept_up_to_their_size(clock):
+    ledger = Ledger(clock)
+    small = KeptAnswer(200, [], b"x")
+    large = KeptAnswer(200, [], b"x" * (KEPT_BODY_BYTES + 1))
+    for name, answer in (("small", small), ("large", large)):
+        ledger.claim(name)
+        ledger.finish(name, answer)
+    assert ledger.query("small").answer is small
+    assert ledger.query("large").answer is None
+
+
+def test_entries_expire_but_running_ones_stay(clock):
+    ledger = Ledger(clock)
+    ledger.claim("done")
+    ledger.finish("done", None)
+    ledger.claim("running")
+    clock.advance(RETENTION_SECONDS + 1)
+    ledger.claim("new")
+    assert len(ledger) == 2
+    assert ledger.query("running").state is OutcomeState.RUNNING
