--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,59 @@
+"""Tests of the messages between nodes."""
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitrack.exceptions import MessageError
+from godwitrack.messages import MESSAGES, Call, Query, decode_message
+
+SAMPLES = {str: "a", int: 1, bool: True, bytes: b"x", list: [], float: 0.5}
+
+
+@pytest.mark.parametrize("kind", MESSAGES.values(), ids=lambda kind: kind.__name__)
+def test_a_message_comes_back_as_it_was(kind):
+    message = kind(*[SAMPLES[accepted] for _, accepted in kind.FIELDS])
+    copy = decode_message(message.encode())
+    assert type(copy) is kind
+    for name, _ in kind.FIELDS:
+        assert getattr(copy, name) == getattr(message, name)
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"", "not CBOR"),
+        (b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff", "not CBOR"),
+        (Query("a", 1).encode()[:-1], "not CBOR"),
+        (cbor2.dumps({}), "not an array"),
+        (cbor2.dumps([]), "not an array"),
+        (cbor2.dumps(["1"]), "not an array"),
+        (cbor2.dumps([99]), "unknown tag"),
+        (cbor2.dumps([Query.TAG, "a"]), "has 2 fields"),
+        (cbor2.dumps([Query.TAG, "a", True]), "Query.incarnation is no int"),
+        (cbor2.dumps([Call.TAG] + [0] * 17), "Call.request_id is no str"),
+    ],
+)
+def test_a_wrong_message_is_named(data, expected):
+    with pytest.raises(MessageError, match=expected):
+        decode_message(data)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_decoded_or_refused(data):
+    try:
+        decode_message(data)
+    except MessageError:
+        pass
+
+
+@given(st.data())
+def test_a_damaged_message_is_decoded_or_refused(data):
+    good = bytearray(Query("request-1", 7).encode())
+    index = data.draw(st.integers(0, len(good) - 1))
+    good[index] = data.draw(st.integers(0, 255))
+    try:
+        decode_message(bytes(good))
+    except MessageError:
+        pass
