Keep "not run" true when a frame comes twice

Cause: a property test of drawn histories (lost, late, doubled and cut frames, nodes killed and paused) found that a request refused before it was claimed left no trace, so that a second copy of its frame ran after the caller was told that it had not, and that a retry elsewhere then doubled it. Change: a guard fences the id of every request that it refuses as not run; where another copy has started meanwhile, the refusal no longer says so. Services are connected before any starts: a store poll could run before membership was there.

--- a/packages/godwitrack/src/godwitrack/kernel.py
+++ b/packages/godwitrack/src/godwitrack/kernel.py
@@ -6,16 +6,18 @@
 
 
 class Service(abc.ABC):
-    """A part of a process that the kernel starts and stops.
+    """A part of a process that the kernel connects, starts, drains and stops."""
 
-    Subclasses find their collaborators with `kernel.find(name)` in `start`.
-    """
+    @property
+    @abc.abstractmethod
+    def name(self):
+        """Name by which other services find this one."""
 
-    name = ""
+    def connect(self, kernel):
+        """Find collaborators with `kernel.find`; none of them runs yet."""
 
-    @abc.abstractmethod
-    def start(self, kernel):
-        """Start the service; services registered earlier are running already."""
+    def start(self):
+        """Begin to work; every service is connected by now."""
 
     def drain(self):
         """Stop taking new work; called before any service is stopped."""
@@ -50,10 +52,16 @@
             raise GodwitrackError(f"no service named {name!r}") from None
 
     def start(self):
-        """Start every service; on a failure, stop what was started and raise."""
+        """Connect every service, then start each in order of registration.
+
+        Raises:
+            StartError: A service failed; those started before it were stopped.
+        """
+        for service in self._services.values():
+            service.connect(self)
         for service in self._services.values():
             try:
-                service.start(self)
+                service.start()
             except Exception as error:
                 errors = [error, *self._stop_started()]
                 raise StartError(f"service {service.name!r} failed", errors) from None
--- a/packages/godwitrack_node/src/godwitrack_node/callers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -36,11 +36,14 @@
         """(host, port) where callers are served."""
         return self._server.address
 
-    def start(self, kernel):
-        """Bind the port and begin to serve."""
+    def connect(self, kernel):
+        """Find the collaborators."""
         self._entry = kernel.find("entry")
         self._metrics = kernel.find("metrics")
         self._request_log = kernel.find("request-log")
+
+    def start(self):
+        """Bind the port and begin to serve."""
         self._server = ConnectionServer(
             self._executor, self._address, self._serve, self._limit
         )
--- a/packages/godwitrack_node/src/godwitrack_node/configurations.py
+++ b/packages/godwitrack_node/src/godwitrack_node/configurations.py
@@ -69,10 +69,13 @@
         self.current = Configuration()
         self.store_reads = 0
 
-    def start(self, kernel):
-        """Begin to follow the store and the hints of other nodes."""
+    def connect(self, kernel):
+        """Find the collaborators."""
         self._membership = kernel.find("membership")
         self._pool = kernel.find("link-pool")
+
+    def start(self):
+        """Begin to follow the store and the hints of other nodes."""
         self._executor.submit(self._follow_store)
         self._executor.submit(self._follow_hints)
 
--- a/packages/godwitrack_node/src/godwitrack_node/directory.py
+++ b/packages/godwitrack_node/src/godwitrack_node/directory.py
@@ -159,9 +159,6 @@
         self._version = 0
         self._listeners = []
 
-    def start(self, kernel):
-        """Do nothing; the directory fills as records are merged."""
-
     def add_listener(self, listener):
         """Call listener(record) after each change, outside the lock."""
         self._listeners.append(listener)
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -106,7 +106,7 @@
         self._guard = None
         self.retry_budget = RetryBudget()
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the collaborators."""
         self._configurations = kernel.find("configurations")
         self._router = kernel.find("router")
--- a/packages/godwitrack_node/src/godwitrack_node/exclusions.py
+++ b/packages/godwitrack_node/src/godwitrack_node/exclusions.py
@@ -25,7 +25,7 @@
         self._cached = Exclusions()
         self._cached_version = None
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the directory and the configuration."""
         self._directory = kernel.find("directory")
         self._configurations = kernel.find("configurations")
--- a/packages/godwitrack_node/src/godwitrack_node/fleet.py
+++ b/packages/godwitrack_node/src/godwitrack_node/fleet.py
@@ -24,7 +24,7 @@
         self._orders = None
         self._kernel = None
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the collaborators."""
         self._kernel = kernel
         self._directory = kernel.find("directory")
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -32,13 +32,13 @@
 
     name = "guard"
 
-    def __init__(self, clock, identity, settings, signer, lease):
+    def __init__(self, clock, identity, settings, signer, lease, backend=None):
         self._clock = clock
         self._identity = identity
         self._signer = signer
         self._lease = lease
         self._cold_slots = settings.get("backend.cold_slots")
-        self._backend = BackendClient(
+        self._backend = backend or BackendClient(
             settings.get("backend.address"), settings.get("backend.connections")
         )
         self._configurations = None
@@ -48,7 +48,7 @@
         self.ledger = Ledger(clock)
         self.admission = Admission(clock, self._cold_slots, self._cold_slots)
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the collaborators."""
         self._configurations = kernel.find("configurations")
         self._directory = kernel.find("directory")
@@ -92,6 +92,14 @@
             RequestError: The request got no answer, or only a part of one.
             CallerGone: The other side of source or sink is gone.
         """
+        try:
+            self._run(call, source, sink)
+        except RequestError as error:
+            if error.answer.not_run:
+                self.ledger.fence(call.request_id)
+            raise
+
+    def _run(self, call, source, sink):
         now = self._clock.read_monotonic()
         deadline = now + call.deadline_ms / 1000.0
         weight = self._check(call)
--- a/packages/godwitrack_node/src/godwitrack_node/ledger.py
+++ b/packages/godwitrack_node/src/godwitrack_node/ledger.py
@@ -94,6 +94,16 @@
             if entry is not None and entry.state is OutcomeState.RUNNING:
                 entry.state = OutcomeState.FENCED
 
+    def fence(self, request_id):
+        """Make sure that a refused request can't run later, from a second copy.
+
+        Raises:
+            DuplicateRequest: Another copy has started, so that "not run" would be
+                false.
+        """
+        if self.query(request_id).state is not OutcomeState.FENCED:
+            raise DuplicateRequest
+
     def finish(self, request_id, answer):
         """Record that a request finished.
 
--- a/packages/godwitrack_node/src/godwitrack_node/lifecycle.py
+++ b/packages/godwitrack_node/src/godwitrack_node/lifecycle.py
@@ -32,7 +32,7 @@
         self._metrics = None
         self._log = find_logger("lifecycle")
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the collaborators."""
         self._guard = kernel.find("guard")
         self._membership = kernel.find("membership")
--- a/packages/godwitrack_node/src/godwitrack_node/linkpool.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkpool.py
@@ -30,17 +30,15 @@
 
     name = "link-pool"
 
-    def __init__(self, clock, authenticator, connect_timeout):
+    def __init__(self, clock, authenticator, connect_timeout, connect=open_link):
         self._clock = clock
         self._authenticator = authenticator
         self._connect_timeout = connect_timeout
+        self._connect = connect
         self._lock = threading.Lock()
         self._idle = {}
         self._opened = 0
 
-    def start(self, kernel):
-        """Do nothing; links are opened on demand."""
-
     def stop(self):
         """Close the idle links."""
         with self._lock:
@@ -80,7 +78,7 @@
             limit = min(limit, timeout)
         if limit <= 0:
             raise LinkError(f"{address}: no time left to connect")
-        link = open_link(address, self._authenticator, limit)
+        link = self._connect(address, self._authenticator, limit)
         self._opened += 1
         return link
 
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -43,11 +43,14 @@
         """The "host:port" at which other nodes connect."""
         return f"{self._server.address[0]}:{self._server.address[1]}"
 
-    def start(self, kernel):
-        """Begin to accept links."""
+    def connect(self, kernel):
+        """Find the collaborators."""
         self._guard = kernel.find("guard")
         self._membership = kernel.find("membership")
         self._metrics = kernel.find("metrics")
+
+    def start(self):
+        """Begin to accept links."""
         self._server.start()
 
     def stop(self):
@@ -79,39 +82,12 @@
         while True:
             message = link.receive(IDLE_SECONDS)
             if type(message) is Call:
-                self._serve_call(link, message)
+                serve_call(self._guard, link, message)
             elif type(message) is Query:
-                self._serve_query(link, message)
+                serve_query(self._guard, link, message)
             else:
                 self._serve_control(link, message, session)
 
-    def _serve_call(self, link, call):
-        check_headers(call.headers)
-        sink = LinkSink(link, call.request_id, self._guard.read_load)
-        source = LinkSource(link)
-        try:
-            self._guard.run(call, source, sink)
-        except RequestError as error:
-            failure = error
-        except (LinkError, CallerGone, MessageError):
-            raise
-        except Exception:
-            self._log.exception("call failed", request_id=call.request_id)
-            failure = RequestError(ErrorKind.INTERNAL)
-        else:
-            return
-        load = self._guard.read_load().to_data()
-        link.send(Refused(failure.kind.value, failure.detail, load), SEND_SECONDS)
-        if sink.is_started or source.is_open:
-            raise CallerGone("the exchange broke off")
-
-    def _serve_query(self, link, query):
-        state, answer = self._guard.query(query.request_id, query.incarnation)
-        kept = answer or NO_ANSWER
-        link.send(
-            Outcome(state.value, kept.status, kept.headers, kept.body), SEND_SECONDS
-        )
-
     def _serve_control(self, link, message, session):
         sent, received = link.sent_bytes, link.received_bytes
         link.send(self._membership.answer(message, session), SEND_SECONDS)
@@ -120,3 +96,50 @@
             link.sent_bytes - sent,
             link.received_bytes - received,
         )
+
+
+def serve_call(guard, link, call):
+    """Run a call and send its answer, or the refusal, over the link.
+
+    Args:
+        guard: Guard.
+        link: Link on which the call came.
+        call: Call.
+
+    Raises:
+        LinkError: The link failed.
+        CallerGone: The exchange broke off, so that the link can't be used again.
+    """
+    check_headers(call.headers)
+    sink = LinkSink(link, call.request_id, guard.read_load)
+    source = LinkSource(link)
+    try:
+        guard.run(call, source, sink)
+        return
+    except RequestError as error:
+        failure = error
+    except (LinkError, CallerGone, MessageError):
+        raise
+    except Exception:
+        find_logger("links").exception("call failed", request_id=call.request_id)
+        failure = RequestError(ErrorKind.INTERNAL)
+    load = guard.read_load().to_data()
+    link.send(Refused(failure.kind.value, failure.detail, load), SEND_SECONDS)
+    if sink.is_started or source.is_open:
+        raise CallerGone("the exchange broke off")
+
+
+def serve_query(guard, link, query):
+    """Send the outcome of a request over the link.
+
+    Args:
+        guard: Guard.
+        link: Link on which the query came.
+        query: Query.
+
+    Raises:
+        LinkError: The link failed.
+    """
+    state, answer = guard.query(query.request_id, query.incarnation)
+    kept = answer or NO_ANSWER
+    link.send(Outcome(state.value, kept.status, kept.headers, kept.body), SEND_SECONDS)
--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -105,8 +105,8 @@
         self._log = find_logger("membership")
         self.is_superseded = False
 
-    def start(self, kernel):
-        """Begin to send heartbeats."""
+    def connect(self, kernel):
+        """Find the collaborators and listen to what changes."""
         self._directory = kernel.find("directory")
         self._configurations = kernel.find("configurations")
         self._pool = kernel.find("link-pool")
@@ -119,6 +119,9 @@
         scheduler.add(0.2, self._beat)
         scheduler.add(0.5, self.plan_peers)
         scheduler.add(10.0, self._directory.expire)
+
+    def start(self):
+        """Begin to send heartbeats."""
         self.plan_peers()
 
     def stop(self):
--- a/packages/godwitrack_node/src/godwitrack_node/metrics.py
+++ b/packages/godwitrack_node/src/godwitrack_node/metrics.py
@@ -77,8 +77,8 @@
         self._registry = Registry()
         self._make_collectors()
 
-    def start(self, kernel):
-        """Begin to take the queue over."""
+    def connect(self, kernel):
+        """Keep the kernel and take the queue over at an interval."""
         self._kernel = kernel
         kernel.find("scheduler").add(FLUSH_SECONDS, self.flush)
 
--- a/packages/godwitrack_node/src/godwitrack_node/operators.py
+++ b/packages/godwitrack_node/src/godwitrack_node/operators.py
@@ -67,9 +67,12 @@
         """(host, port) where operators are served."""
         return self._server.server_address
 
-    def start(self, kernel):
-        """Bind the port and begin to serve."""
+    def connect(self, kernel):
+        """Keep the kernel, to find services as they are asked about."""
         self._kernel = kernel
+
+    def start(self):
+        """Bind the port and begin to serve."""
         self._server = make_server(
             self._address.host,
             self._address.port,
--- a/packages/godwitrack_node/src/godwitrack_node/orders.py
+++ b/packages/godwitrack_node/src/godwitrack_node/orders.py
@@ -76,8 +76,8 @@
         self._exclusions = None
         self._log = find_logger("orders")
 
-    def start(self, kernel):
-        """Find the collaborators and begin to retry what could not be recorded."""
+    def connect(self, kernel):
+        """Find the collaborators, and retry at an interval what was not recorded."""
         self._configurations = kernel.find("configurations")
         self._exclusions = kernel.find("exclusions")
         kernel.find("scheduler").add(RETRY_SECONDS, self._retry_pending)
--- a/packages/godwitrack_node/src/godwitrack_node/rendezvous.py
+++ b/packages/godwitrack_node/src/godwitrack_node/rendezvous.py
@@ -33,9 +33,12 @@
         self._stopped = threading.Event()
         self._log = find_logger("rendezvous")
 
-    def start(self, kernel):
-        """Read a few addresses and write the own one, as soon as the store lets."""
+    def connect(self, kernel):
+        """Find out the own address."""
         self._address = kernel.find("link-server").advertised
+
+    def start(self):
+        """Read a few addresses and write the own one, as soon as the store lets."""
         self._executor.submit(self._join)
 
     def stop(self):
--- a/packages/godwitrack_node/src/godwitrack_node/requestlog.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestlog.py
@@ -18,9 +18,6 @@
         self._rng = rng or random.Random()
         self._log = find_logger("requests")
 
-    def start(self, kernel):
-        """Do nothing; requests are logged as they end."""
-
     def record(self, errand, request):
         """Log a request that ended, if it falls in the share."""
         if self._rng.random() >= self._share:
--- a/packages/godwitrack_node/src/godwitrack_node/routing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routing.py
@@ -274,7 +274,7 @@
         self._directory = None
         self._exclusions = None
 
-    def start(self, kernel):
+    def connect(self, kernel):
         """Find the directory and the source of exclusions."""
         self._directory = kernel.find("directory")
         self._exclusions = kernel.find("exclusions")
--- a/packages/godwitrack_node/src/godwitrack_node/scheduler.py
+++ b/packages/godwitrack_node/src/godwitrack_node/scheduler.py
@@ -42,7 +42,7 @@
         due = self._clock.read_monotonic() + interval
         self._jobs.append(Job(interval, function, due))
 
-    def start(self, kernel):
+    def start(self):
         """Begin to run jobs."""
         self._executor.submit(self._run)
 
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,137 @@
+"""Histories of lost, late, doubled and cut frames, and of nodes killed and paused."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_lab.inmemory import World
+
+HISTORIES = 1500
+DISTURBANCES = ("nothing", "nothing", "release", "kill", "kill unseen", "pause", "run")
+
+
+def disturb(choose):
+    def act(world):
+        what = choose(DISTURBANCES)
+        server = world.servers[choose(range(len(world.servers)))]
+        if what == "release" and world.delayed:
+            world.release_frame(choose(range(len(world.delayed))))
+        elif what in ("kill", "kill unseen"):
+            server.restart()
+            if what == "kill":
+                server.announce()
+        elif what == "pause":
+            server.pause()
+        elif what == "run" and server.is_paused:
+            server.resume()
+
+    return act
+
+
+def check(world, told):
+    """Compare what callers were told with what the backend servers ran."""
+    for operation, (idempotent, result) in told.items():
+        runs = world.runs[operation]
+        if not idempotent:
+            assert runs <= 1, operation
+        if isinstance(result, RequestError):
+            if result.answer.not_run:
+                assert runs == 0, (operation, result.kind)
+        else:
+            assert runs >= 1, operation
+            assert result.body == operation.encode()
+
+
+@settings(max_examples=HISTORIES)
+@given(st.data())
+def test_no_history_doubles_or_lies(data):
+    def choose(options):
+        return data.draw(st.sampled_from(list(options)))
+
+    world = World(lambda point, fates: choose(fates), disturb=disturb(choose))
+    told = {}
+    for number in range(choose(range(1, 5))):
+        idempotent = choose([False, False, True])
+        operation = f"operation-{number}"
+        told[operation] = (idempotent, world.send(operation, idempotent))
+    check(world, told)
+    world.release_all()
+    check(world, told)
+
+
+def make_decider(script):
+    """Return a decider that follows a script at one point and then does no harm."""
+    left = {point: list(fates) for point, fates in script.items()}
+
+    def decide(point, fates):
+        return left[point].pop(0) if left.get(point) else fates[0]
+
+    return decide
+
+
+@pytest.mark.parametrize(
+    ("script", "kind", "runs"),
+    [
+        ({}, None, 1),
+        # The call is lost: the query fences it, and another server runs it.
+        ({"frame": ["lose"]}, None, 1),
+        # The answer is lost: the query fetches the kept answer.
+        ({"answer": ["lose"]}, None, 1),
+        ({"answer": ["cut before"]}, None, 1),
+        ({"frame": ["cut after"]}, None, 1),
+        ({"frame": ["cut before"]}, None, 1),
+        ({"frame": ["duplicate"]}, None, 1),
+        ({"backend": ["run then break"]}, ErrorKind.OUTCOME_UNKNOWN, 1),
+        ({"backend": ["unreachable"]}, None, 1),
+        ({"backend": ["shed"]}, None, 1),
+        ({"backend": ["unreachable"] * 9}, ErrorKind.BACKEND_UNREACHABLE, 0),
+    ],
+)
+def test_a_write_runs_at_most_once(script, kind, runs):
+    world = World(make_decider(script))
+    result = world.send("write", False)
+    assert getattr(result, "kind", None) is kind
+    world.release_all()
+    assert world.runs["write"] == runs
+
+
+def test_a_late_call_does_not_run_after_it_was_fenced():
+    world = World(make_decider({"frame": ["delay"]}), count=1)
+    result = world.send("write", False)
+    assert result.kind is ErrorKind.FENCED
+    assert result.answer.not_run
+    world.release_all()
+    assert world.runs["write"] == 0
+
+
+def test_a_node_killed_after_the_call_leaves_the_outcome_unknown():
+    killed = []
+
+    def kill(world):
+        if not killed:
+            killed.append(True)
+            world.servers[0].restart()
+
+    world = World(make_decider({"answer": ["lose"]}), count=1, disturb=kill)
+    result = world.send("write", False)
+    assert result.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert not result.answer.not_run
+    assert world.runs["write"] == 1
+
+
+def test_a_paused_node_refuses_what_waited_for_it():
+    world = World(make_decider({}), count=1)
+    world.servers[0].pause()
+    result = world.send("write", False)
+    assert not result.answer.not_run
+    world.servers[0].resume()
+    world.release_all()
+    assert world.runs["write"] == 0
+
+
+def test_reads_are_repeated_only_within_their_plan():
+    world = World(make_decider({"backend": ["run then break"] * 9}))
+    result = world.send("read", True)
+    assert result.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert world.runs["read"] == 2
