Script scenarios for the decisions under load and faults

Cause: the decisions had no measured proof. The router now queues at home rather than cross the regional link, and spills within the region before a server is full.

--- /dev/null
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -0,0 +1,445 @@
+"""A stage for decisions: real routers and admission over fake links and servers.
+
+One queue of events on a clock set by hand; every choice, limit, refusal and retry
+is made by the product's own code.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+from hdrh.histogram import HdrHistogram
+
+from godwitrack.clock import ManualClock
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.kernel import Kernel, Service
+from godwitrack.messages import Load
+from godwitrack.plans import RequestClass
+from godwitrack_node.admission import Admission, Ticket
+from godwitrack_node.directory import Directory, ServerRecord, ServerState
+from godwitrack_node.retries import RetryBudget, RetryRule
+from godwitrack_node.routing import POLICIES, Exclusions, Location, Router
+
+NEAR_SECONDS = 0.0002
+DATA_CENTRE_SECONDS = 0.001
+REGION_SECONDS = 0.020
+REPORT_SECONDS = 0.5
+COLD_FACTOR = 6.0
+OVERLOAD_POWER = 1.0
+JITTER = 0.2
+DEADLINE_SECONDS = 2.0
+SILENCE_SECONDS = 0.5
+MAX_LATENCY_US = 60_000_000
+PRODUCT_POLICY = "least-cost"
+REPORTED_POLICY = "two-choices"
+
+
+class FixedCap:
+    """Stands in for the warm-up cap in baselines: all slots, always.
+
+    Attributes:
+        cap: Most requests at once.
+    """
+
+    def __init__(self, slots):
+        self.cap = slots
+
+    def announce(self, is_cold, slots, now):
+        """Take no notice."""
+
+    def record(self, kind, seconds, is_failure, now):
+        """Learn nothing."""
+
+    def is_late(self, kind, seconds):
+        """Find nothing late."""
+        return False
+
+    def fall(self):
+        """Stay."""
+
+
+class StageServer:
+    """A fake backend server behind a real Admission.
+
+    Attributes:
+        place: ServerPlace.
+        admission: Admission.
+        factor: Factor on the service time.
+        cold: Whether it is in a cold start.
+        cold_slots: Most requests at once that it bears while cold.
+        failing: Whether it fails at once.
+        is_silent: Whether its answers get lost.
+        cold_overloads: Requests started while cold and already full.
+        started: Requests started.
+        last_started: Time of the newest start.
+    """
+
+    def __init__(self, place, clock, rng, cold_slots, is_baseline):
+        self.place = place
+        self.admission = Admission(clock, place.slots, cold_slots)
+        if is_baseline:
+            self.admission.warmup = FixedCap(place.slots)
+        self.factor = 1.0
+        self.cold = False
+        self.cold_slots = cold_slots
+        self.failing = False
+        self.is_silent = False
+        self.cold_overloads = 0
+        self.started = 0
+        self.last_started = 0.0
+        self.active = 0
+        self._rng = rng
+
+    def begin(self, now):
+        """Start one request; returns the seconds that it takes."""
+        if self.cold and self.active >= self.cold_slots:
+            self.cold_overloads += 1
+        self.active += 1
+        self.started += 1
+        self.last_started = now
+        if self.failing:
+            return 0.0005
+        seconds = self.place.seconds * self.factor
+        if self.cold:
+            seconds *= COLD_FACTOR
+        crowd = max(self.active / self.place.slots, 1.0)
+        return (
+            seconds * crowd**OVERLOAD_POWER * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        )
+
+    def read_load(self):
+        """Return the Load that an answer carries."""
+        admission = self.admission
+        return Load(admission.in_flight, admission.queued, admission.limit, 1)
+
+
+class StageEntry:
+    """An entry with a real Router and RetryBudget.
+
+    Attributes:
+        location: Location.
+        router: Router.
+        budget: RetryBudget.
+    """
+
+    def __init__(self, location, router):
+        self.location = location
+        self.router = router
+        self.budget = RetryBudget()
+
+
+class Job:
+    """One caller's request.
+
+    Attributes:
+        flow: Flow that it belongs to.
+        entry: StageEntry that received it.
+        arrived: Time of its arrival.
+        rule: RetryRule.
+        tried: Names of servers tried.
+        uncertain: Whether an attempt may have run without an answer.
+    """
+
+    __slots__ = ("arrived", "entry", "flow", "rule", "tried", "uncertain")
+
+    def __init__(self, flow, entry, arrived):
+        self.flow = flow
+        self.entry = entry
+        self.arrived = arrived
+        self.rule = RetryRule(entry.budget, flow.idempotent, flow.max_retries)
+        self.tried = set()
+        self.uncertain = False
+
+
+class Flow:
+    """Requests of one customer and class.
+
+    Attributes:
+        customer: Name of the customer.
+        service: Service that is called.
+        request_class: RequestClass.
+        rate: Requests a second.
+        idempotent: Whether a request may run more than once.
+        max_retries: Most repeats.
+        weight: Capacity that the customer buys, in requests a second.
+        regions: Regions that may serve it, a frozenset.
+        factor: Factor on the rate.
+        histogram: Latencies of good answers in microseconds.
+        good: Good answers.
+        sent: Requests.
+        refused: Counter of ErrorKinds.
+    """
+
+    def __init__(self, data, regions):
+        self.customer = data["customer"]
+        self.service = data["service"]
+        self.request_class = RequestClass(data.get("class", "interactive"))
+        self.rate = data["rate"]
+        self.idempotent = data.get("idempotent", True)
+        self.max_retries = data.get("max_retries", 2)
+        self.weight = data.get("plan", 1_000_000)
+        self.regions = frozenset(data.get("regions", regions))
+        self.factor = 1.0
+        self.histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
+        self.good = 0
+        self.sent = 0
+        self.refused = collections.Counter()
+
+    def find_percentile(self, part):
+        """Return a percentile of the good answers' latency, in ms."""
+        return self.histogram.get_value_at_percentile(part) / 1000
+
+
+class StageExclusions(Service):
+    """Exclusions set by the scenario."""
+
+    name = "exclusions"
+
+    def __init__(self):
+        self.version = 0
+        self._exclusions = Exclusions()
+
+    def read(self):
+        """Return the Exclusions in force."""
+        return self._exclusions
+
+    def set(self, data_centres, servers):
+        """Put other exclusions in force."""
+        self.version += 1
+        self._exclusions = Exclusions(frozenset(data_centres), frozenset(servers))
+
+
+class Stage:
+    """Runs flows of requests against servers, with faults at set times.
+
+    Attributes:
+        servers: StageServers by name.
+        flows: Flows.
+        window: Times of arrival between which latencies are kept.
+        attempts: Attempts made.
+        wrong_regions: Requests that reached a server outside their regions.
+    """
+
+    def __init__(
+        self, places, flows, entries, seed, policy=PRODUCT_POLICY, cold_slots=1
+    ):
+        """Build the stage.
+
+        Args:
+            places: ServerPlaces.
+            flows: Flows.
+            entries: Entries in each data centre.
+            seed: Seed of all randomness.
+            policy: Name in POLICIES.
+            cold_slots: Most requests at once that a cold server bears.
+        """
+        self.clock = ManualClock(0.0)
+        self.window = (0.0, float("inf"))
+        self.flows = flows
+        self.attempts = 0
+        self.wrong_regions = 0
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._events = []
+        self._numbers = itertools.count()
+        self._directory = Directory(self.clock)
+        self._exclusions = StageExclusions()
+        self.servers = {
+            place.name: StageServer(
+                place, self.clock, self._rng, cold_slots, policy != PRODUCT_POLICY
+            )
+            for place in places
+        }
+        for server in self.servers.values():
+            self._join(server)
+        self._entries = [
+            self._make_entry(region, data_centre)
+            for region, data_centre in sorted(
+                {(place.region, place.data_centre) for place in places}
+            )
+            for _ in range(entries)
+        ]
+
+    def at(self, moment, function, *arguments):
+        """Call a function at a time."""
+        event = (moment, next(self._numbers), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds):
+        """Run the flows for a number of seconds and wait for every answer."""
+        for flow in self.flows:
+            self.at(self._draw_gap(flow), self._arrive, flow, seconds)
+        if self._policy == REPORTED_POLICY:
+            self.at(REPORT_SECONDS, self._report, seconds)
+        while self._events:
+            moment, _, function, arguments = heapq.heappop(self._events)
+            self.clock.now = max(self.clock.now, moment)
+            function(*arguments)
+
+    def exclude(self, data_centres=(), servers=()):
+        """Take data centres or servers out of service."""
+        self._exclusions.set(data_centres, servers)
+        for server in self.servers.values():
+            place = server.place
+            if place.data_centre in data_centres or place.name in servers:
+                server.admission.drain()
+            else:
+                server.admission.resume()
+
+    def _join(self, server):
+        place = server.place
+        record = ServerRecord(
+            place.name,
+            place.service,
+            place.region,
+            place.data_centre,
+            f"stage:{len(self._directory.list_servers())}",
+            place.slots,
+            ServerState.WARM,
+            1,
+            1,
+        )
+        self._directory.merge(record)
+        server.admission.announce(False, place.slots)
+        # The stage opens on a fleet that has served for long.
+        server.admission.warmup.cap = place.slots
+        server.admission.server_count = sum(
+            item.place.service == place.service for item in self.servers.values()
+        )
+
+    def _make_entry(self, region, data_centre):
+        location = Location(region, data_centre)
+        policy = POLICIES[self._policy](random.Random(self._rng.random()))
+        router = Router(self.clock, location, policy)
+        kernel = Kernel()
+        kernel.register(self._directory)
+        kernel.register(self._exclusions)
+        router.connect(kernel)
+        return StageEntry(location, router)
+
+    def _draw_gap(self, flow):
+        return self.clock.now + self._rng.expovariate(flow.rate * flow.factor)
+
+    def _arrive(self, flow, end):
+        if self.clock.now >= end:
+            return
+        self.at(self._draw_gap(flow), self._arrive, flow, end)
+        near = [
+            entry for entry in self._entries if entry.location.region in flow.regions
+        ]
+        flow.sent += 1
+        self._attempt(Job(flow, self._rng.choice(near), self.clock.now))
+
+    def _attempt(self, job):
+        flow = job.flow
+        try:
+            view = job.entry.router.choose(flow.service, flow.regions, job.tried)
+        except RequestError as error:
+            self._finish(job, error)
+            return
+        job.tried.add(view.record.name)
+        job.rule.attempts += 1
+        self.attempts += 1
+        view.record_sent()
+        server = self.servers[view.record.name]
+        if server.place.region not in flow.regions:
+            self.wrong_regions += 1
+        delay = self._find_delay(job.entry, server)
+        self.at(self.clock.now + delay, self._reach, job, view, server, self.clock.now)
+
+    def _reach(self, job, view, server, sent):
+        flow = job.flow
+        ticket = Ticket(
+            flow.customer,
+            flow.weight,
+            flow.request_class.rank,
+            job.arrived + DEADLINE_SECONDS,
+            flow.request_class,
+            lambda item: self._decided(item, job, view, server, sent),
+        )
+        try:
+            server.admission.offer(ticket)
+        except RequestError as error:
+            self._send_back(server, job, self._refuse, view, error)
+            return
+        if ticket.granted_at is not None:
+            self._start(ticket, job, view, server, sent)
+
+    def _decided(self, ticket, job, view, server, sent):
+        if ticket.refusal is not None:
+            self._send_back(server, job, self._refuse, view, ticket.refusal)
+        else:
+            self._start(ticket, job, view, server, sent)
+
+    def _start(self, ticket, job, view, server, sent):
+        seconds = server.begin(self.clock.now)
+        end = self.clock.now + seconds
+        self.at(end, self._end, ticket, job, view, server, sent, server.failing)
+
+    def _end(self, ticket, job, view, server, sent, is_failure):
+        server.active -= 1
+        server.admission.release(ticket, is_failure)
+        if server.is_silent:
+            moment = self.clock.now + SILENCE_SECONDS
+            self.at(moment, self._lose, job, view, sent)
+            return
+        self._send_back(server, job, self._take_answer, view, server, sent, is_failure)
+
+    def _send_back(self, server, job, function, *arguments):
+        moment = self.clock.now + self._find_delay(job.entry, server)
+        self.at(moment, function, job, *arguments)
+
+    def _refuse(self, job, view, error):
+        view.record_refusal()
+        self._retry(job, error)
+
+    def _lose(self, job, view, sent):
+        view.record_failure(self.clock.now - sent, self.clock.now)
+        job.uncertain = True
+        self._retry(job, RequestError(ErrorKind.OUTCOME_UNKNOWN))
+
+    def _take_answer(self, job, view, server, sent, is_failure):
+        now = self.clock.now
+        if self._policy != REPORTED_POLICY:
+            view.record_load(server.read_load(), now)
+        if is_failure:
+            view.record_failure(now - sent, now)
+            job.flow.refused["backend failed"] += 1
+            return
+        view.record_answer(now - sent, now)
+        job.flow.good += 1
+        if self.window[0] <= job.arrived < self.window[1]:
+            micros = int((now - job.arrived) * 1e6)
+            job.flow.histogram.record_value(min(max(micros, 1), MAX_LATENCY_US))
+        if job.rule.attempts == 1:
+            job.entry.budget.deposit()
+
+    def _retry(self, job, error):
+        if self.clock.now - job.arrived < DEADLINE_SECONDS and job.rule.allows(error):
+            self._attempt(job)
+        else:
+            self._finish(job, error)
+
+    def _finish(self, job, error):
+        kind = ErrorKind.OUTCOME_UNKNOWN if job.uncertain else error.kind
+        job.flow.refused[kind.value] += 1
+
+    def _report(self, end):
+        """Give every entry the load of every server, as late as reports are."""
+        if self.clock.now >= end:
+            return
+        self.at(self.clock.now + REPORT_SECONDS, self._report, end)
+        for entry in self._entries:
+            for server in self.servers.values():
+                record = self._directory.find(server.place.name)
+                view = entry.router.find_view(record)
+                view.record_load(server.read_load(), self.clock.now)
+
+    def _find_delay(self, entry, server):
+        place = server.place
+        if place.region != entry.location.region:
+            return REGION_SECONDS
+        if place.data_centre != entry.location.data_centre:
+            return DATA_CENTRE_SECONDS
+        return NEAR_SECONDS
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -13,6 +13,7 @@
 CAPACITY_SLACK = 1.25
 BURST_SECONDS = 1.0
 MIN_BURST = 4.0
+LATE_TICKETS = 2
 
 
 class Ticket:
@@ -23,6 +24,7 @@
         weight: Share that the customer buys; its plan's requests a second.
         rank: Rank of the request's class, 0 for the most urgent.
         deadline: Monotonic time in seconds after which it must not start.
+        kind: Hashable that groups requests of like duration.
         granted_at: Monotonic time at which it was let through, or None.
         refusal: RequestError if it was refused, or None.
     """
@@ -32,13 +34,14 @@
         "customer",
         "deadline",
         "granted_at",
+        "kind",
         "on_decision",
         "rank",
         "refusal",
         "weight",
     )
 
-    def __init__(self, customer, weight, rank, deadline, on_decision=None):
+    def __init__(self, customer, weight, rank, deadline, kind="", on_decision=None):
         """Take the attributes and a function called once the ticket is decided.
 
         Args:
@@ -46,6 +49,7 @@
             weight: Share that the customer buys.
             rank: Rank of the request's class.
             deadline: Monotonic time in seconds.
+            kind: Hashable that groups requests of like duration.
             on_decision: Called with the ticket when it is granted or refused
                 after having waited; None lets `wait` be used.
         """
@@ -53,6 +57,7 @@
         self.weight = weight
         self.rank = rank
         self.deadline = deadline
+        self.kind = kind
         self.granted_at = None
         self.refusal = None
         self._decided = None
@@ -109,7 +114,7 @@
         self._lock = threading.Lock()
         self._queue = []
         self._uses = {}
-        self._in_flight = 0
+        self._running = set()
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._is_draining = False
         self._next_clean = 0.0
@@ -119,7 +124,7 @@
     @property
     def in_flight(self):
         """Requests running at the backend server."""
-        return self._in_flight
+        return len(self._running)
 
     @property
     def queued(self):
@@ -160,6 +165,7 @@
         now = self._clock.read_monotonic()
         with self._lock:
             self._check(ticket, now)
+            self._check_running(now)
             use = self._find_use(ticket, now)
             self._take_token(use, now)
             if not self._queue and self._may_start(use):
@@ -182,22 +188,21 @@
                 return True
             return False
 
-    def release(self, ticket, kind, is_failure):
+    def release(self, ticket, is_failure):
         """Give back a granted ticket and let waiting ones through.
 
         Args:
             ticket: A granted Ticket.
-            kind: Hashable that groups requests of like duration.
             is_failure: Whether the backend server failed or gave no answer.
         """
         now = self._clock.read_monotonic()
         with self._lock:
             seconds = now - ticket.granted_at
-            self._in_flight -= 1
+            self._running.discard(ticket)
             use = self._uses.get(ticket.customer)
             if use is not None:
                 use.in_flight -= 1
-            self.warmup.record(kind, seconds, is_failure, now)
+            self.warmup.record(ticket.kind, seconds, is_failure, now)
             change = seconds - self._service_seconds
             self._service_seconds += SERVICE_WEIGHT * change
             expired = self._take_expired(now)
@@ -231,6 +236,18 @@
         if ticket.deadline <= now:
             raise RequestError(ErrorKind.DEADLINE_EXPIRED)
 
+    def _check_running(self, now):
+        """Let the cap fall as soon as running requests show that the server is cold.
+
+        Waiting for their answers would let more requests in meanwhile.
+        """
+        late = sum(
+            self.warmup.is_late(ticket.kind, now - ticket.granted_at)
+            for ticket in self._running
+        )
+        if late >= LATE_TICKETS:
+            self.warmup.fall()
+
     def _find_use(self, ticket, now):
         use = self._uses.get(ticket.customer)
         if use is None:
@@ -260,7 +277,7 @@
         Slots beyond a customer's share are lent to it, except for a small reserve
         that the others find free at once.
         """
-        free = self.warmup.cap - self._in_flight
+        free = self.warmup.cap - len(self._running)
         if free <= 0:
             return False
         return use.in_flight < self._compute_share(use) or free > self._compute_reserve(
@@ -284,7 +301,7 @@
 
     def _start(self, ticket, use, now):
         ticket.granted_at = now
-        self._in_flight += 1
+        self._running.add(ticket)
         use.in_flight += 1
 
     def _enqueue(self, ticket, use, now):
@@ -317,7 +334,7 @@
 
     def _start_waiting(self, now):
         started = []
-        while self._queue and self._in_flight < self.warmup.cap:
+        while self._queue and len(self._running) < self.warmup.cap:
             ranked = sorted(
                 self._queue,
                 key=lambda item: (
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -11,9 +11,8 @@
 )
 from godwitrack_node.exchange import PART_BYTES, CallerSink, CallerSource
 from godwitrack_node.httpserver import HOP_HEADERS
-from godwitrack_node.retries import RetryBudget
+from godwitrack_node.retries import RetryBudget, RetryRule
 
-MAX_ATTEMPTS = 4
 DROP_HEADERS = HOP_HEADERS | {
     "authorization",
     "host",
@@ -21,7 +20,6 @@
     DEADLINE_HEADER.lower(),
     REQUEST_ID_HEADER.lower(),
 }
-REPEATABLE_KINDS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST))
 
 
 class Errand:
@@ -39,8 +37,7 @@
         regions: Regions that may serve it, a frozenset.
         deadline: Monotonic time in seconds.
         depth: Position in the chain of calls; 1 for a request from outside.
-        retries_left: Attempts after the first that are still allowed.
-        attempts: Attempts made.
+        retry_rule: RetryRule of this request.
         server: Name of the server tried last, or "".
         status: HTTP status given to the caller, or 0.
         kind: ErrorKind given to the caller, or None.
@@ -48,7 +45,6 @@
     """
 
     __slots__ = (
-        "attempts",
         "customer",
         "deadline",
         "depth",
@@ -60,7 +56,7 @@
         "regions",
         "request_class",
         "request_id",
-        "retries_left",
+        "retry_rule",
         "server",
         "service",
         "status",
@@ -79,12 +75,16 @@
         self.regions = frozenset()
         self.deadline = now
         self.depth = 1
-        self.retries_left = 0
-        self.attempts = 0
+        self.retry_rule = RetryRule(None, False, 0)
         self.server = ""
         self.status = 0
         self.kind = None
 
+    @property
+    def attempts(self):
+        """Attempts made."""
+        return self.retry_rule.attempts
+
 
 class Entry(Service):
     """Authenticates a request, finds its plan and route, and makes the attempts."""
@@ -170,7 +170,7 @@
 
     def _attempt(self, errand, view, call, source, sink):
         """Make one attempt and learn from it."""
-        errand.attempts += 1
+        errand.retry_rule.attempts += 1
         errand.server = view.record.name
         started = self._clock.read_monotonic()
         view.record_sent()
@@ -217,19 +217,9 @@
     def _may_retry(self, errand, error, source, sink):
         if sink.is_started or source.is_touched:
             return False
-        if errand.attempts >= MAX_ATTEMPTS:
-            return False
         if errand.deadline <= self._clock.read_monotonic():
             return False
-        if error.kind is ErrorKind.NO_SERVER:
-            return False
-        if not error.answer.retryable:
-            if not errand.idempotent or error.kind not in REPEATABLE_KINDS:
-                return False
-            if errand.retries_left <= 0:
-                return False
-            errand.retries_left -= 1
-        return self.retry_budget.withdraw()
+        return errand.retry_rule.allows(error)
 
     def _make_call(self, errand, request, record, body, more):
         left = errand.deadline - self._clock.read_monotonic()
@@ -249,7 +239,7 @@
             sorted(errand.regions),
             left * 1000.0,
             errand.depth,
-            errand.retries_left,
+            errand.retry_rule.retries_left,
             request.length,
             body,
             more,
@@ -267,7 +257,9 @@
             raise RequestError(ErrorKind.NOT_ALLOWED)
         errand.request_class = route.request_class.value
         errand.idempotent = route.idempotent
-        errand.retries_left = route.max_retries
+        errand.retry_rule = RetryRule(
+            self.retry_budget, route.idempotent, route.max_retries
+        )
         errand.regions = plan.find_regions(route)
         errand.deadline = errand.received_at + self._read_deadline(request)
         if context is not None:
@@ -279,7 +271,8 @@
         """Keep a nested call within what its outer request may still use."""
         errand.deadline = min(errand.deadline, context.deadline)
         errand.depth = context.depth + 1
-        errand.retries_left = min(errand.retries_left, context.retries_left)
+        rule = errand.retry_rule
+        rule.retries_left = min(rule.retries_left, context.retries_left)
         errand.regions &= frozenset(context.regions)
         if errand.depth > self._max_depth:
             raise RequestError(ErrorKind.TOO_DEEP)
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -104,10 +104,10 @@
         deadline = now + call.deadline_ms / 1000.0
         weight = self._check(call)
         rank = RequestClass(call.request_class).rank
-        ticket = Ticket(call.customer, weight, rank, deadline)
+        kind = (call.method, call.request_class)
+        ticket = Ticket(call.customer, weight, rank, deadline, kind)
         self.admission.server_count = self._count_servers()
         self.admission.acquire(ticket)
-        kind = (call.method, call.request_class)
         is_failure = True
         try:
             is_failure = self._execute(call, source, sink, deadline)
@@ -120,7 +120,7 @@
             is_failure = False
             raise
         finally:
-            self.admission.release(ticket, kind, is_failure)
+            self.admission.release(ticket, is_failure)
 
     def _check(self, call):
         """Check that the request may run here and return the customer's weight."""
--- a/packages/godwitrack_node/src/godwitrack_node/retries.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retries.py
@@ -2,6 +2,11 @@
 
 import threading
 
+from godwitrack.exceptions import ErrorKind
+
+MAX_ATTEMPTS = 4
+REPEATABLE_KINDS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST))
+
 DEPOSIT = 0.2
 RESERVE = 10.0
 LIMIT = 100.0
@@ -35,3 +40,38 @@
                 return False
             self._balance -= 1.0
             return True
+
+
+class RetryRule:
+    """Decides whether one request may be tried once more.
+
+    Attributes:
+        idempotent: Whether the request may run more than once.
+        retries_left: Times that it may still run again.
+        attempts: Attempts made.
+    """
+
+    __slots__ = ("_budget", "attempts", "idempotent", "retries_left")
+
+    def __init__(self, budget, idempotent, retries_left):
+        self._budget = budget
+        self.idempotent = idempotent
+        self.retries_left = retries_left
+        self.attempts = 0
+
+    def allows(self, error):
+        """Tell whether a further attempt may follow, and count it if so.
+
+        Args:
+            error: RequestError that ended the last attempt.
+        """
+        if error.kind is ErrorKind.NO_SERVER or self.attempts >= MAX_ATTEMPTS:
+            return False
+        if error.answer.retryable:
+            return self._budget.withdraw()
+        if not self.idempotent or error.kind not in REPEATABLE_KINDS:
+            return False
+        if self.retries_left <= 0 or not self._budget.withdraw():
+            return False
+        self.retries_left -= 1
+        return True
--- a/packages/godwitrack_node/src/godwitrack_node/routing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routing.py
@@ -18,6 +18,9 @@
 FAILURES_TO_AVOID = 3
 AVOID_SECONDS = 0.5
 MAX_AVOID_SECONDS = 10.0
+COMFORTABLE_USE = 0.9
+FULL_USE = 2.0
+FAR_TIER = 2
 
 
 class ServerView:
@@ -263,10 +266,10 @@
 
     name = "router"
 
-    def __init__(self, clock, location, rng=None):
+    def __init__(self, clock, location, policy=None):
         self._clock = clock
         self._location = location
-        self._policy = LeastCostPolicy(rng or random.Random())
+        self._policy = policy or LeastCostPolicy(random.Random())
         self._lock = threading.Lock()
         self._views = {}
         self._tiers = {}
@@ -295,18 +298,29 @@
             RequestError: UNKNOWN_SERVICE or NO_SERVER.
         """
         now = self._clock.read_monotonic()
-        tiers = self._find_tiers(service, regions)
-        fallback = None
-        for views in tiers:
+        near, fallback = [], None
+        for tier, views in enumerate(self._find_tiers(service, regions)):
+            if tier == FAR_TIER and near:
+                # The link between regions is slow and billed: only for want of room.
+                break
             usable = [
                 view
                 for view in views
                 if view.avoid_until <= now and view.record.name not in tried
             ]
-            free = [view for view in usable if view.estimate_use(now) < 1.0]
-            if free:
-                return self._policy.choose(free, now)
+            comfortable = [
+                view for view in usable if view.estimate_use(now) < COMFORTABLE_USE
+            ]
+            if comfortable:
+                return self._policy.choose(comfortable, now)
+            near.extend(view for view in usable if view.estimate_use(now) < FULL_USE)
             fallback = fallback or usable
+        return self._choose_crowded(service, near, fallback, now)
+
+    def _choose_crowded(self, service, near, fallback, now):
+        """Choose where no server is comfortable, the nearest with room first."""
+        if near:
+            return self._policy.choose(near, now)
         if fallback:
             return self._policy.choose(fallback, now)
         if not self._directory.has_service(service):
@@ -324,7 +338,7 @@
         exclusions = self._exclusions.read()
         rows = []
         for record in self._directory.find_service(service):
-            view = self._find_view(record)
+            view = self.find_view(record)
             rows.append(
                 {
                     "server": record.name,
@@ -370,7 +384,7 @@
                 continue
             if exclusions.covers(record):
                 continue
-            tiers[self._find_tier(record)].append(self._find_view(record))
+            tiers[self._find_tier(record)].append(self.find_view(record))
         return tiers
 
     def _find_tier(self, record):
@@ -380,7 +394,12 @@
             return 1
         return 2
 
-    def _find_view(self, record):
+    def find_view(self, record):
+        """Return what this entry knows of a server's load.
+
+        Args:
+            record: ServerRecord; a new incarnation starts with nothing known.
+        """
         view = self._views.get(record.name)
         if view is None or view.record.incarnation != record.incarnation:
             view = self._views[record.name] = ServerView(record)
--- a/packages/godwitrack_node/src/godwitrack_node/warmup.py
+++ b/packages/godwitrack_node/src/godwitrack_node/warmup.py
@@ -5,6 +5,7 @@
 GOOD_RATIO = 2.0
 COLD_RATIO = 4.0
 COLD_SAMPLES = 3
+MIN_LATE_SECONDS = 0.005
 GROWTH = 1.5
 DECAY = 0.7
 COLD_ANNOUNCEMENT_SECONDS = 120.0
@@ -71,6 +72,18 @@
         self._good_samples = 0
         self._bad_samples = 0
 
+    def is_late(self, kind, seconds):
+        """Tell whether a request that still runs takes as long as a cold server's.
+
+        Args:
+            kind: Hashable that groups requests of like duration.
+            seconds: Time since it started.
+        """
+        baseline = self._baselines.get(kind)
+        return baseline is not None and seconds > max(
+            COLD_RATIO * baseline, MIN_LATE_SECONDS
+        )
+
     def record(self, kind, seconds, is_failure, now):
         """Learn from one finished request.
 
@@ -87,7 +100,7 @@
         ratio = seconds / baseline if baseline > 0 else 1.0
         weight = FAST_WEIGHT if seconds < baseline else SLOW_WEIGHT
         self._baselines[kind] = baseline + weight * (seconds - baseline)
-        if ratio >= COLD_RATIO:
+        if ratio >= COLD_RATIO and seconds >= MIN_LATE_SECONDS:
             self._record_bad(self.cold_slots)
         elif ratio <= GOOD_RATIO:
             self._record_good(now)
