Protect quiet customers and urgent classes at the guard

Cause: with one customer at ten times its plan the quiet ones' p99 rose from 24.3 to 57 ms: entries crossed the regional link because reports counted the noisy customer's queue; bursts of a whole second's plan were let in; urgent requests queued behind others' although a reserved slot was free; the queue was not cut when the cap fell.

--- a/packages/godwitrack/src/godwitrack/exceptions.py
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -73,7 +73,7 @@
         508, True, False, False, "The chain of calls is deeper than the limit."
     ),
     ErrorKind.OVER_CAPACITY: ErrorAnswer(
-        429, True, False, True, "The customer is over the capacity of its plan."
+        429, True, True, True, "The customer is over the capacity of its plan."
     ),
     ErrorKind.SERVER_BUSY: ErrorAnswer(
         503, True, True, True, "The backend server can bear no more load now."
--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -17,6 +17,7 @@
 from godwitrack.messages import Load
 from godwitrack.plans import RequestClass
 from godwitrack_node.admission import Admission, Ticket
+from godwitrack_node.capacity import CapacityMemory
 from godwitrack_node.directory import Directory, ServerRecord, ServerState
 from godwitrack_node.retries import RetryBudget, RetryRule
 from godwitrack_node.routing import POLICIES, Exclusions, Location, Router
@@ -121,11 +122,13 @@
         location: Location.
         router: Router.
         budget: RetryBudget.
+        capacity: CapacityMemory.
     """
 
-    def __init__(self, location, router):
+    def __init__(self, location, router, clock):
         self.location = location
         self.router = router
+        self.capacity = CapacityMemory(clock)
         self.budget = RetryBudget()
 
 
@@ -253,6 +256,7 @@
         }
         for server in self.servers.values():
             self._join(server)
+        self._count_servers()
         self._entries = [
             self._make_entry(region, data_centre)
             for region, data_centre in sorted(
@@ -280,12 +284,13 @@
     def exclude(self, data_centres=(), servers=()):
         """Take data centres or servers out of service."""
         self._exclusions.set(data_centres, servers)
+        exclusions = self._exclusions.read()
         for server in self.servers.values():
-            place = server.place
-            if place.data_centre in data_centres or place.name in servers:
+            if exclusions.covers(server.place):
                 server.admission.drain()
             else:
                 server.admission.resume()
+        self._count_servers()
 
     def _join(self, server):
         place = server.place
@@ -304,9 +309,17 @@
         server.admission.announce(False, place.slots)
         # The stage opens on a fleet that has served for long.
         server.admission.warmup.cap = place.slots
-        server.admission.server_count = sum(
-            item.place.service == place.service for item in self.servers.values()
+
+    def _count_servers(self):
+        """Tell every guard among how many a customer's capacity is divided."""
+        exclusions = self._exclusions.read()
+        counts = collections.Counter(
+            server.place.service
+            for server in self.servers.values()
+            if not exclusions.covers(server.place)
         )
+        for server in self.servers.values():
+            server.admission.server_count = counts[server.place.service]
 
     def _make_entry(self, region, data_centre):
         location = Location(region, data_centre)
@@ -316,7 +329,7 @@
         kernel.register(self._directory)
         kernel.register(self._exclusions)
         router.connect(kernel)
-        return StageEntry(location, router)
+        return StageEntry(location, router, self.clock)
 
     def _draw_gap(self, flow):
         return self.clock.now + self._rng.expovariate(flow.rate * flow.factor)
@@ -334,7 +347,8 @@
     def _attempt(self, job):
         flow = job.flow
         try:
-            view = job.entry.router.choose(flow.service, flow.regions, job.tried)
+            spent = job.entry.capacity.list_servers(flow.customer)
+            view = job.entry.router.choose(flow.service, flow.regions, job.tried, spent)
         except RequestError as error:
             self._finish(job, error)
             return
@@ -350,10 +364,12 @@
 
     def _reach(self, job, view, server, sent):
         flow = job.flow
+        # In a baseline all customers and classes wait in one queue.
+        is_product = self._policy == PRODUCT_POLICY
         ticket = Ticket(
-            flow.customer,
-            flow.weight,
-            flow.request_class.rank,
+            flow.customer if is_product else "all",
+            flow.weight if is_product else 1e9,
+            flow.request_class.rank if is_product else 0,
             job.arrived + DEADLINE_SECONDS,
             flow.request_class,
             lambda item: self._decided(item, job, view, server, sent),
@@ -392,6 +408,8 @@
 
     def _refuse(self, job, view, error):
         view.record_refusal()
+        if error.kind is ErrorKind.OVER_CAPACITY:
+            job.entry.capacity.note(job.flow.customer, view.record.name)
         self._retry(job, error)
 
     def _lose(self, job, view, sent):
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -1,5 +1,6 @@
 """Admission: which requests the backend server runs now, later or not at all."""
 
+import math
 import threading
 
 from godwitrack.exceptions import ErrorKind, RequestError
@@ -7,13 +8,15 @@
 
 QUEUE_FACTOR = 2
 RESERVE_SHARE = 0.15
+MIN_CAP_WITH_RESERVE = 3
 SERVICE_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.005
 ACTIVE_SECONDS = 1.0
 CAPACITY_SLACK = 1.25
-BURST_SECONDS = 1.0
+BURST_SECONDS = 0.25
 MIN_BURST = 4.0
 LATE_TICKETS = 2
+MIN_PLACES = 2
 
 
 class Ticket:
@@ -118,6 +121,7 @@
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._is_draining = False
         self._next_clean = 0.0
+        self._urgent_at = -ACTIVE_SECONDS
         self.server_count = 1
         self.warmup = WarmupCap(cold_slots, slots)
 
@@ -168,13 +172,20 @@
             self._check_running(now)
             use = self._find_use(ticket, now)
             self._take_token(use, now)
-            if not self._queue and self._may_start(use):
+            if ticket.rank == 0:
+                self._urgent_at = now
+            if not self._queue and self._may_start(ticket, use, now):
                 self._start(ticket, use, now)
                 return
-            evicted = self._enqueue(ticket, use, now)
+            self._check_wait(ticket, now)
             ticket.prepare_wait()
-        if evicted is not None:
-            self._refuse(evicted, ErrorKind.SERVER_BUSY)
+            self._queue.append(ticket)
+            # A slot may be free that those who wait already may not take.
+            started = self._start_waiting(now)
+            evicted = self._trim_queue()
+        self._settle(started, evicted, ticket)
+        if ticket.refusal is not None:
+            raise ticket.refusal
 
     def cancel(self, ticket):
         """Take a waiting ticket back.
@@ -207,11 +218,11 @@
             self._service_seconds += SERVICE_WEIGHT * change
             expired = self._take_expired(now)
             started = self._start_waiting(now)
+            evicted = self._trim_queue()
             self._clean(now)
         for item in expired:
             self._refuse(item, ErrorKind.DEADLINE_EXPIRED)
-        for item in started:
-            item.decide()
+        self._settle(started, evicted)
 
     def acquire(self, ticket):
         """Offer a ticket and wait until it is granted.
@@ -271,18 +282,20 @@
             raise RequestError(ErrorKind.OVER_CAPACITY)
         use.tokens -= 1.0
 
-    def _may_start(self, use):
+    def _may_start(self, ticket, use, now):
         """Tell whether a customer may take one more slot.
 
         Slots beyond a customer's share are lent to it, except for a small reserve
-        that the others find free at once.
+        that the others find free at once. Less urgent classes leave the same
+        reserve to the most urgent one.
         """
         free = self.warmup.cap - len(self._running)
         if free <= 0:
             return False
-        return use.in_flight < self._compute_share(use) or free > self._compute_reserve(
-            use
-        )
+        reserve = self._compute_reserve(use)
+        if ticket.rank > 0 and now - self._urgent_at < ACTIVE_SECONDS:
+            return free > max(reserve, self._find_reserve())
+        return use.in_flight < self._compute_share(use) or free > reserve
 
     def _compute_share(self, use):
         now = use.last_seen
@@ -295,30 +308,49 @@
 
     def _compute_reserve(self, use):
         others = any(item is not use for item in self._uses.values())
-        if not others or self.warmup.cap < 3:
+        return self._find_reserve() if others else 0
+
+    def _find_reserve(self):
+        if self.warmup.cap < MIN_CAP_WITH_RESERVE:
             return 0
-        return max(int(self.warmup.cap * RESERVE_SHARE), 1)
+        return math.ceil(self.warmup.cap * RESERVE_SHARE)
 
     def _start(self, ticket, use, now):
         ticket.granted_at = now
         self._running.add(ticket)
         use.in_flight += 1
 
-    def _enqueue(self, ticket, use, now):
-        """Put a ticket in the queue and return the one it displaced, or None."""
-        places = max(self.warmup.cap * QUEUE_FACTOR, 2)
+    def _check_wait(self, ticket, now):
+        """Refuse a ticket that would wait for longer than its deadline."""
         rounds = (len(self._queue) + 1) / max(self.warmup.cap, 1)
-        wait = rounds * self._service_seconds
-        if now + wait > ticket.deadline:
+        if now + rounds * self._service_seconds > ticket.deadline:
             raise RequestError(ErrorKind.SERVER_BUSY, "the queue outlasts the deadline")
-        self._queue.append(ticket)
-        if len(self._queue) <= places:
-            return None
-        worst = max(self._queue, key=self._rate_waiting)
-        self._queue.remove(worst)
-        if worst is ticket:
-            raise RequestError(ErrorKind.SERVER_BUSY)
-        return worst
+
+    def _trim_queue(self):
+        """Take out of the queue what is too much for the present cap."""
+        places = max(self.warmup.cap * QUEUE_FACTOR, MIN_PLACES)
+        evicted = []
+        while len(self._queue) > places:
+            worst = max(self._queue, key=self._rate_waiting)
+            self._queue.remove(worst)
+            evicted.append(worst)
+        return evicted
+
+    def _settle(self, started, evicted, present=None):
+        """Tell those who wait what was decided.
+
+        Args:
+            started: Tickets that were granted.
+            evicted: Tickets that are refused.
+            present: Ticket whose owner is in `offer` and needs no telling.
+        """
+        for item in started:
+            if item is not present:
+                item.decide()
+        for item in evicted:
+            item.refusal = RequestError(ErrorKind.SERVER_BUSY)
+            if item is not present:
+                item.decide()
 
     def _rate_waiting(self, ticket):
         """Return the sort key of a waiting ticket; the lowest one goes first."""
@@ -344,7 +376,11 @@
                 ),
             )
             ticket = next(
-                (item for item in ranked if self._may_start(self._uses[item.customer])),
+                (
+                    item
+                    for item in ranked
+                    if self._may_start(item, self._uses[item.customer], now)
+                ),
                 None,
             )
             if ticket is None:
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -4,6 +4,7 @@
 from godwitrack.kernel import Service
 from godwitrack.messages import Call
 from godwitrack_node.attempt import LocalAttempt, RemoteAttempt
+from godwitrack_node.capacity import CapacityMemory
 from godwitrack_node.context import (
     CONTEXT_HEADER,
     DEADLINE_HEADER,
@@ -104,6 +105,7 @@
         self._router = None
         self._pool = None
         self._guard = None
+        self._capacity = CapacityMemory(clock)
         self.retry_budget = RetryBudget()
 
     def connect(self, kernel):
@@ -147,7 +149,8 @@
         refusal = None
         while True:
             try:
-                view = self._router.choose(errand.service, errand.regions, tried)
+                spent = self._capacity.list_servers(errand.customer)
+                view = self._router.choose(errand.service, errand.regions, tried, spent)
                 call = self._make_call(errand, request, view.record, body, more)
                 tried.add(view.record.name)
                 self._attempt(errand, view, call, source, sink)
@@ -219,6 +222,8 @@
             return False
         if errand.deadline <= self._clock.read_monotonic():
             return False
+        if error.kind is ErrorKind.OVER_CAPACITY:
+            self._capacity.note(errand.customer, errand.server)
         return errand.retry_rule.allows(error)
 
     def _make_call(self, errand, request, record, body, more):
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -45,6 +45,8 @@
         self._directory = None
         self._exclusions = None
         self._metrics = None
+        self._server_count = 1
+        self._counted_version = None
         self.ledger = Ledger(clock)
         self.admission = Admission(clock, self._cold_slots, self._cold_slots)
 
@@ -147,8 +149,17 @@
         return plan.requests_per_second
 
     def _count_servers(self):
-        servers = self._directory.find_service(self._identity.service)
-        return sum(record.state.is_serving for record in servers) or 1
+        """Return the servers among which a customer's capacity is divided."""
+        version = (self._directory.version, self._exclusions.version)
+        if version != self._counted_version:
+            exclusions = self._exclusions.read()
+            servers = self._directory.find_service(self._identity.service)
+            self._server_count = sum(
+                record.state.is_serving and not exclusions.covers(record)
+                for record in servers
+            )
+            self._counted_version = version
+        return max(self._server_count, 1)
 
     def _execute(self, call, source, sink, deadline):
         """Run an admitted request; returns whether the backend server failed."""
--- a/packages/godwitrack_node/src/godwitrack_node/retries.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retries.py
@@ -67,6 +67,9 @@
         """
         if error.kind is ErrorKind.NO_SERVER or self.attempts >= MAX_ATTEMPTS:
             return False
+        if error.kind is ErrorKind.OVER_CAPACITY:
+            # Not a sign of overload: another server may have some of the plan left.
+            return True
         if error.answer.retryable:
             return self._budget.withdraw()
         if not self.idempotent or error.kind not in REPEATABLE_KINDS:
--- a/packages/godwitrack_node/src/godwitrack_node/routing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routing.py
@@ -18,9 +18,9 @@
 FAILURES_TO_AVOID = 3
 AVOID_SECONDS = 0.5
 MAX_AVOID_SECONDS = 10.0
-COMFORTABLE_USE = 0.9
-FULL_USE = 2.0
+FREE_USE = 0.9
 FAR_TIER = 2
+NEAR_ATTEMPTS = 2
 
 
 class ServerView:
@@ -282,7 +282,7 @@
         self._directory = kernel.find("directory")
         self._exclusions = kernel.find("exclusions")
 
-    def choose(self, service, regions, tried=()):
+    def choose(self, service, regions, tried=(), spent=()):
         """Return the ServerView that a request should be sent to.
 
         Servers of the own data centre come first, then those of the own region,
@@ -293,38 +293,35 @@
             service: Name of the service.
             regions: Regions that may serve the request.
             tried: Names of servers that refused or failed it already.
+            spent: Names of servers at which the customer is over its capacity.
 
         Raises:
-            RequestError: UNKNOWN_SERVICE or NO_SERVER.
+            RequestError: UNKNOWN_SERVICE, OVER_CAPACITY or NO_SERVER.
         """
         now = self._clock.read_monotonic()
-        near, fallback = [], None
+        near = []
         for tier, views in enumerate(self._find_tiers(service, regions)):
-            if tier == FAR_TIER and near:
-                # The link between regions is slow and billed: only for want of room.
+            if tier == FAR_TIER and near and len(tried) < NEAR_ATTEMPTS:
+                # The link between regions is slow and billed. Whether the near
+                # side is full is known from refusals, not from stale reports.
                 break
             usable = [
                 view
                 for view in views
-                if view.avoid_until <= now and view.record.name not in tried
+                if view.avoid_until <= now
+                and view.record.name not in tried
+                and view.record.name not in spent
             ]
-            comfortable = [
-                view for view in usable if view.estimate_use(now) < COMFORTABLE_USE
-            ]
-            if comfortable:
-                return self._policy.choose(comfortable, now)
-            near.extend(view for view in usable if view.estimate_use(now) < FULL_USE)
-            fallback = fallback or usable
-        return self._choose_crowded(service, near, fallback, now)
-
-    def _choose_crowded(self, service, near, fallback, now):
-        """Choose where no server is comfortable, the nearest with room first."""
+            free = [view for view in usable if view.estimate_use(now) < FREE_USE]
+            if free:
+                return self._policy.choose(free, now)
+            near.extend(usable)
         if near:
             return self._policy.choose(near, now)
-        if fallback:
-            return self._policy.choose(fallback, now)
         if not self._directory.has_service(service):
             raise RequestError(ErrorKind.UNKNOWN_SERVICE)
+        if spent:
+            raise RequestError(ErrorKind.OVER_CAPACITY)
         raise RequestError(ErrorKind.NO_SERVER)
 
     def explain(self, service, regions):
