Notice slow servers by the requests that wait for them

Cause: a server that slows tenfold was chosen until its first slow answers came; cold servers kept queues of 0.24 s. Change: a server's expected latency is at least the age of the older half of the requests that wait for it; a queue longer than 0.1 s refuses; a refusal's load is learned on the stage as in the entry.

--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -355,7 +355,7 @@
         job.tried.add(view.record.name)
         job.rule.attempts += 1
         self.attempts += 1
-        view.record_sent()
+        view.record_sent(self.clock.now)
         server = self.servers[view.record.name]
         if server.place.region not in flow.regions:
             self.wrong_regions += 1
@@ -377,14 +377,14 @@
         try:
             server.admission.offer(ticket)
         except RequestError as error:
-            self._send_back(server, job, self._refuse, view, error)
+            self._send_back(server, job, self._refuse, view, sent, error)
             return
         if ticket.granted_at is not None:
             self._start(ticket, job, view, server, sent)
 
     def _decided(self, ticket, job, view, server, sent):
         if ticket.refusal is not None:
-            self._send_back(server, job, self._refuse, view, ticket.refusal)
+            self._send_back(server, job, self._refuse, view, sent, ticket.refusal)
         else:
             self._start(ticket, job, view, server, sent)
 
@@ -406,8 +406,11 @@
         moment = self.clock.now + self._find_delay(job.entry, server)
         self.at(moment, function, job, *arguments)
 
-    def _refuse(self, job, view, error):
-        view.record_refusal()
+    def _refuse(self, job, view, sent, error):
+        view.record_refusal(sent)
+        if self._policy != REPORTED_POLICY:
+            server = self.servers[view.record.name]
+            view.record_load(server.read_load(), self.clock.now)
         if error.kind is ErrorKind.OVER_CAPACITY:
             job.entry.capacity.note(job.flow.customer, view.record.name)
         self._retry(job, error)
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -17,6 +17,7 @@
 MIN_BURST = 4.0
 LATE_TICKETS = 2
 MIN_PLACES = 2
+MAX_WAIT_SECONDS = 0.1
 
 
 class Ticket:
@@ -321,10 +322,11 @@
         use.in_flight += 1
 
     def _check_wait(self, ticket, now):
-        """Refuse a ticket that would wait for longer than its deadline."""
+        """Refuse a ticket that would wait for long, since others may be free."""
         rounds = (len(self._queue) + 1) / max(self.warmup.cap, 1)
-        if now + rounds * self._service_seconds > ticket.deadline:
-            raise RequestError(ErrorKind.SERVER_BUSY, "the queue outlasts the deadline")
+        wait = rounds * self._service_seconds
+        if wait > min(ticket.deadline - now, MAX_WAIT_SECONDS):
+            raise RequestError(ErrorKind.SERVER_BUSY, "the queue is too long")
 
     def _trim_queue(self):
         """Take out of the queue what is too much for the present cap."""
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -176,18 +176,18 @@
         errand.retry_rule.attempts += 1
         errand.server = view.record.name
         started = self._clock.read_monotonic()
-        view.record_sent()
+        view.record_sent(started)
         try:
             load = self._find_attempt(view).run(call, source, sink)
         except RequestError as error:
             now = self._clock.read_monotonic()
             if error.answer.not_run and error.kind is not ErrorKind.BACKEND_UNREACHABLE:
-                view.record_refusal()
+                view.record_refusal(started)
             else:
                 view.record_failure(now - started, now)
             raise
         except CallerGone:
-            view.record_refusal()
+            view.record_refusal(started)
             raise
         except Exception:
             now = self._clock.read_monotonic()
--- a/packages/godwitrack_node/src/godwitrack_node/routing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routing.py
@@ -1,6 +1,7 @@
 """Routing: which backend server a request is sent to."""
 
 import abc
+import collections
 import math
 import random
 import threading
@@ -35,6 +36,7 @@
         latency_at: Monotonic time of the last answer, in seconds.
         failures: Failures in a row.
         avoid_until: Monotonic time until which it gets no requests.
+        sent_at: Monotonic times at which the requests in flight were sent.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "load_at",
         "own_at_report",
         "record",
+        "sent_at",
     )
 
     def __init__(self, record):
@@ -59,6 +62,7 @@
         self.latency_at = 0.0
         self.failures = 0
         self.avoid_until = 0.0
+        self.sent_at = collections.deque()
 
     @property
     def limit(self):
@@ -82,9 +86,23 @@
             others = max(reported, 0) * 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
         return (self.in_flight + others) / self.limit
 
-    def record_sent(self):
+    def estimate_latency(self, now):
+        """Return the latency to expect, in seconds.
+
+        Requests without an answer tell before any answer does that a server has
+        become slow: the latency is at least the age of the older half of them.
+        """
+        trust = 0.5 ** ((now - self.latency_at) / LATENCY_DECAY_SECONDS)
+        latency = self.latency * trust
+        waiting = len(self.sent_at)
+        if waiting:
+            latency = max(latency, now - self.sent_at[waiting // 2])
+        return latency + MIN_LATENCY_SECONDS
+
+    def record_sent(self, now):
         """Count a request that was sent."""
         self.in_flight += 1
+        self.sent_at.append(now)
 
     def record_load(self, load, now):
         """Take over a report of load."""
@@ -94,17 +112,17 @@
 
     def record_answer(self, seconds, now):
         """Count a good answer and its latency; a peak counts at once."""
-        self.in_flight = max(self.in_flight - 1, 0)
+        self._forget(now - seconds)
         self.failures = 0
         self._learn(seconds, now)
 
-    def record_refusal(self):
-        """Count a refusal that did not run."""
-        self.in_flight = max(self.in_flight - 1, 0)
+    def record_refusal(self, sent_at):
+        """Count a refusal that did not run, of a request sent at a time."""
+        self._forget(sent_at)
 
     def record_failure(self, seconds, now):
         """Count a failure as a slow answer, so that failing fast attracts nothing."""
-        self.in_flight = max(self.in_flight - 1, 0)
+        self._forget(now - seconds)
         self.failures += 1
         slow = max(seconds, self.latency, INITIAL_LATENCY_SECONDS)
         self._learn(min(slow * FAILURE_FACTOR, 10.0), now)
@@ -116,6 +134,14 @@
         power = min(max(self.failures - FAILURES_TO_AVOID, 0), 8)
         self.avoid_until = now + min(AVOID_SECONDS * 2**power, MAX_AVOID_SECONDS)
 
+    def _forget(self, sent_at):
+        """Take one request out of those in flight."""
+        self.in_flight = max(self.in_flight - 1, 0)
+        if not self.sent_at:
+            return
+        nearest = min(self.sent_at, key=lambda moment: abs(moment - sent_at))
+        self.sent_at.remove(nearest)
+
     def _learn(self, seconds, now):
         age = now - self.latency_at
         self.latency_at = now
@@ -159,10 +185,7 @@
 
     def _compute_cost(self, view, now):
         use = view.estimate_use(now) + 1.0 / view.limit
-        age = now - view.latency_at
-        trust = 0.5 ** (age / LATENCY_DECAY_SECONDS)
-        latency = view.latency * trust + MIN_LATENCY_SECONDS
-        return use * latency
+        return use * view.estimate_latency(now)
 
 
 class RandomPolicy(Policy):
