Test configuration and take-outs on real nodes under outages

Cause: membership and configuration had run only in the demo. The metrics' collectors were registered for the whole process, which the second node in one process showed; they now belong to their node.

--- a/packages/godwitrack_node/src/godwitrack_node/metrics.py
+++ b/packages/godwitrack_node/src/godwitrack_node/metrics.py
@@ -136,35 +136,43 @@
             "godwitrack_request_seconds",
             "Time to answer a caller, by customer and class",
             buckets=list(LATENCY_BUCKETS),
+            registry=self._registry,
         )
         self._requests = Counter(
-            "godwitrack_requests_total", "Requests by customer, class and status"
+            "godwitrack_requests_total",
+            "Requests by customer, class and status",
+            registry=self._registry,
+        )
+        self._errors = Counter(
+            "godwitrack_errors_total",
+            "Error answers by kind",
+            registry=self._registry,
         )
-        self._errors = Counter("godwitrack_errors_total", "Error answers by kind")
         self._retries = Counter(
-            "godwitrack_retries_total", "Attempts after the first of a request"
+            "godwitrack_retries_total",
+            "Attempts after the first of a request",
+            registry=self._registry,
         )
         self._bad_input = Counter(
-            "godwitrack_bad_input_total", "Input that was not well formed, by port"
+            "godwitrack_bad_input_total",
+            "Input that was not well formed, by port",
+            registry=self._registry,
         )
         self._caller_gone = Counter(
-            "godwitrack_callers_gone_total", "Callers that left before their answer"
+            "godwitrack_callers_gone_total",
+            "Callers that left before their answer",
+            registry=self._registry,
         )
         self._control = Gauge(
-            "godwitrack_control_bytes", "Control bytes by direction and scope"
+            "godwitrack_control_bytes",
+            "Control bytes by direction and scope",
+            registry=self._registry,
+        )
+        self._state = Gauge(
+            "godwitrack_state",
+            "State of the node, by name",
+            registry=self._registry,
         )
-        self._state = Gauge("godwitrack_state", "State of the node, by name")
-        for collector in (
-            self._latency,
-            self._requests,
-            self._errors,
-            self._retries,
-            self._bad_input,
-            self._caller_gone,
-            self._control,
-            self._state,
-        ):
-            self._registry.register(collector)
 
     def _record(self, sample):
         customer = self._bound_customer(sample.customer)
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,154 @@
+"""Real nodes in this process, over loopback, with the platform in memory."""
+
+import collections
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from godwitrack.plans import read_lists
+from godwitrack.settings import Address, Settings
+from godwitrack.store import HttpClient
+from godwitrack_lab.backendserver import BackendServer, Behaviour
+from godwitrack_lab.deployment import Deployment, find_ports, make_settings
+from godwitrack_lab.load import open_connection
+from godwitrack_lab.memory import MemoryObjects, MemoryPlatform, MemoryTables
+from godwitrack_node.node import Node
+
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.02
+IN_FORCE_SECONDS = 5.0  # The stated bound for today's size.
+
+
+class Member:
+    """One node with its fake backend server."""
+
+    def __init__(self, cluster, place, ports, seeds):
+        self.place = place
+        self.backend = BackendServer(
+            place.name,
+            cluster.executor,
+            Address("127.0.0.1", 0),
+            Behaviour(place.seconds),
+        )
+        data = make_settings(
+            place,
+            ports,
+            self.backend.address[1],
+            seeds,
+            "http://127.0.0.1:1",
+            peers__ping_interval_ms=200,
+            stop__notice_ms=300,
+            links__silence_ms=200,
+        )
+        self.settings = Settings(data)
+        self.cluster = cluster
+        self.node = None
+        self.start()
+
+    def start(self):
+        """Start a node with an empty memory."""
+        tables, objects = self.cluster.tables, self.cluster.objects
+        self.node = Node(self.settings, tables=tables, objects=objects)
+        self.node.start()
+        self.announce("warm")
+
+    def announce(self, state):
+        self.find("lifecycle").announce(
+            {"service": self.place.service, "state": state, "slots": self.place.slots}
+        )
+
+    def find(self, name):
+        return self.node.kernel.find(name)
+
+    @property
+    def revision(self):
+        return self.find("configurations").current.revision
+
+    @property
+    def callers(self):
+        return str(self.settings.get("listen.callers"))
+
+    def stop(self):
+        return self.node.stop()
+
+
+class Cluster:
+    """A few members of one deployment."""
+
+    def __init__(self, count, deployment="ljusgemenskapen", services=("scenbok",)):
+        self.deployment = Deployment(deployment)
+        self.platform = MemoryPlatform()
+        self.tables = MemoryTables(self.platform)
+        self.objects = MemoryObjects(self.platform)
+        self.executor = ThreadPoolExecutor(2000)
+        places = [item for item in self.deployment.servers if item.service in services]
+        ports = find_ports(3 * count)
+        seeds = [f"127.0.0.1:{port}" for port in ports[2:9:3]]
+        self.members = [
+            Member(self, place, ports[3 * index : 3 * index + 3], seeds)
+            for index, place in enumerate(places[:count])
+        ]
+
+    def __enter__(self):
+        folder = self.deployment.folder
+        records = read_lists(folder / "customers.yaml", folder / "plans.yaml")
+        self.commit(self.members[0], 0, records)
+        self.wait(self.is_complete, "all members know each other")
+        return self
+
+    def __exit__(self, *exception):
+        self.platform.faults.outage = False
+        threads = [threading.Thread(target=item.stop) for item in self.members]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for member in self.members:
+            member.backend.stop()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def is_complete(self):
+        return all(
+            len(member.find("directory").list_servers()) == len(self.members)
+            and member.find("configurations").is_ready
+            and member.revision == self.members[0].revision
+            for member in self.members
+        )
+
+    def commit(self, member, base, records, change_id="first"):
+        configurations = member.find("configurations")
+        return configurations.commit(base, records, "test", change_id)
+
+    def wait(self, condition, text, seconds=WAIT_SECONDS):
+        deadline = time.monotonic() + seconds
+        while not condition():
+            assert time.monotonic() < deadline, f"not within {seconds} s: {text}"
+            time.sleep(POLL_SECONDS)
+
+    def count_runs(self):
+        runs = collections.Counter()
+        for member in self.members:
+            runs.update(member.backend.runs)
+        return runs
+
+
+def call(address, method, path, customer="brand-ask", operation="", body=None):
+    """Send one request; returns status, headers and body."""
+    connection = open_connection(address)
+    headers = {
+        "Authorization": f"Bearer demo-key-{customer}",
+        "X-Operation": operation,
+    }
+    try:
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        connection.close()
+
+
+def fetch_json(address, path):
+    """Return the JSON that an operators' port gives at a path."""
+    _, body = HttpClient(5.0).fetch("GET", f"http://{address}{path}")
+    return json.loads(body)
