Test whole nodes: drain, stop, kill, pause and garbage at the wire

Cause: the promises about planned stops and bad input had no proof. Change: tests on four real nodes. A head over 64 KiB that ended within the next read was taken; the limit now holds before the bytes are parsed.

--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -229,6 +229,10 @@
             return False
         if self._in_head:
             self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise RequestError(
+                    ErrorKind.BAD_REQUEST, "the head is larger than 64 KiB"
+                )
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -237,8 +241,6 @@
             ) from None
         except (httptools.HttpParserError, ValueError) as error:
             raise RequestError(ErrorKind.BAD_REQUEST, f"not HTTP: {error}") from None
-        if self._in_head and self._head_bytes > MAX_HEAD_BYTES and not self._events:
-            raise RequestError(ErrorKind.BAD_REQUEST, "the head is larger than 64 KiB")
         return True
 
     def _frame(self, body):
--- /dev/null
+++ b/tests/test_nodes.py
@@ -0,0 +1,215 @@
+"""Tests of whole nodes: drain, stop, kill, pause, silence and garbage."""
+
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from cluster import IN_FORCE_SECONDS, Cluster, call
+from godwitrack.exceptions import RequestError
+from godwitrack_node.directory import ServerState
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(4) as cluster:
+        yield cluster
+
+
+def find_state(member, name):
+    record = member.find("directory").find(name)
+    return record.state if record else None
+
+
+def test_a_leaving_server_finishes_its_work_and_gets_no_more(cluster):
+    entry, target = cluster.members[0], cluster.members[2]
+    target.backend.behaviour.seconds = 1.0
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(
+            call(target.callers, "GET", "/scenbok/scenes/1", operation="in-flight")
+        )
+    )
+    thread.start()
+    cluster.wait(lambda: target.backend.runs["in-flight"], "the request runs")
+    left = time.time()
+    target.announce("leaving")
+    thread.join()
+    assert results[0][0] == 200
+    cluster.wait(
+        lambda: find_state(entry, target.place.name) is ServerState.LEAVING,
+        "the entry knows",
+        IN_FORCE_SECONDS,
+    )
+    cluster.wait(lambda: target.find("lifecycle").is_drained, "the server is drained")
+    for _ in range(20):
+        assert call(entry.callers, "GET", "/scenbok/scenes/1")[0] == 200
+    assert target.backend.last_started - left < IN_FORCE_SECONDS
+    target.backend.behaviour.seconds = 0.002
+    target.announce("warm")
+    cluster.wait(
+        lambda: find_state(entry, target.place.name) is ServerState.WARM, "it is back"
+    )
+
+
+def test_a_planned_stop_cuts_nothing_off(cluster):
+    entry, target = cluster.members[0], cluster.members[3]
+    target.backend.behaviour.seconds = 0.5
+    results = []
+
+    def send(number):
+        results.append(
+            call(entry.callers, "GET", "/scenbok/scenes/1", operation=f"stop-{number}")
+        )
+
+    threads = [threading.Thread(target=send, args=(item,)) for item in range(8)]
+    for thread in threads:
+        thread.start()
+    assert target.stop() == 0
+    for thread in threads:
+        thread.join()
+    assert [status for status, _, _ in results] == [200] * 8
+    target.backend.behaviour.seconds = 0.002
+    target.start()
+    cluster.wait(cluster.is_complete, "all members know each other")
+
+
+def test_a_killed_node_is_found_silent_and_returns(cluster):
+    entry, target = cluster.members[0], cluster.members[1]
+    kernel = target.node.kernel
+    for name in ("callers", "link-server", "membership", "scheduler", "operators"):
+        kernel.find(name).drain()
+        kernel.find(name).stop()
+    cluster.wait(
+        lambda: (
+            find_state(entry, target.place.name)
+            in (ServerState.SILENT, ServerState.GONE)
+        ),
+        "the entry knows that it is silent",
+        IN_FORCE_SECONDS,
+    )
+    for _ in range(10):
+        assert call(entry.callers, "GET", "/scenbok/scenes/1")[0] == 200
+    target.start()
+    cluster.wait(cluster.is_complete, "all members know each other")
+    cluster.wait(
+        lambda: find_state(entry, target.place.name) is ServerState.WARM, "it is back"
+    )
+
+
+def test_a_large_body_and_a_large_answer_are_whole(cluster):
+    entry = cluster.members[0]
+    for _ in range(6):
+        status, _, body = call(entry.callers, "GET", "/scenbok/scenes/large")
+        assert status == 200
+        assert len(json.loads(body)["padding"]) == 300_000
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"\x00\x01garbage\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost x\r\n\r\n", b"400"),
+        (b"GET / HTTP/9.9\r\n\r\n", b"400"),
+        (b"GET /" + b"a" * 70_000 + b" HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nA: " + b"b" * 200_000 + b"\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", b"400"),
+        (b"GET /scenbok/scenes/1 HTTP/1.1\r\nHost: x\r\n\r\n", b"401"),
+        (
+            b"GET /scenbok/scenes/1 HTTP/1.1\r\n"
+            b"Authorization: Bearer demo-key-brand-ask\r\n"
+            b"Godwitrack-Deadline-Ms: soon\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"GET /scenbok/scenes/1 HTTP/1.1\r\nGodwitrack-Context: AAAA\r\n\r\n",
+            b"401",
+        ),
+        (
+            b"POST /scenbok/scenes/1 HTTP/1.1\r\n"
+            b"Authorization: Bearer demo-key-brand-ask\r\n\r\n",
+            b"403",
+        ),
+    ],
+)
+def test_bad_input_gets_a_clear_error_and_disturbs_nobody(cluster, data, expected):
+    host, _, port = cluster.members[0].callers.partition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.settimeout(10)
+        try:
+            sock.sendall(data)
+        except ConnectionError:
+            pass
+        try:
+            answer = sock.recv(4096)
+        except ConnectionError:
+            answer = b""
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 " + expected)
+    assert call(cluster.members[0].callers, "GET", "/scenbok/scenes/1")[0] == 200
+
+
+def test_a_body_that_breaks_off_reaches_no_backend_server(cluster):
+    """A body shorter than its length is never passed as complete."""
+    member = cluster.members[0]
+    host, _, port = member.callers.partition(":")
+    head = (
+        b"GET /scenbok/scenes/1 HTTP/1.1\r\nX-Operation: short\r\n"
+        b"Authorization: Bearer demo-key-brand-ask\r\nContent-Length: 100\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(head + b"only this")
+    time.sleep(0.2)
+    assert cluster.count_runs()["short"] == 0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00" * 100,
+        b"GET /link HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET /link HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
+        b"Godwitrack-Proof: 1.2.3\r\n\r\n",
+    ],
+)
+def test_a_stranger_gets_no_link(cluster, data):
+    address = cluster.members[0].find("link-server").advertised
+    host, _, port = address.partition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.settimeout(10)
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        answer = b""
+        try:
+            while part := sock.recv(4096):
+                answer += part
+        except ConnectionError:
+            pass
+    assert b"101" not in answer.split(b"\r\n")[0]
+
+
+def test_a_customer_at_home_is_refused_elsewhere(cluster):
+    """brand-cedra may only be served in sve-norr."""
+    for member in cluster.members:
+        status, headers, _ = call(
+            member.callers, "GET", "/scenbok/scenes/9", customer="brand-cedra"
+        )
+        if member.place.region == "sve-norr":
+            assert status == 200
+        else:
+            assert status == 421
+            assert headers["Godwitrack-Error"] == "wrong_region"
+            assert headers["Godwitrack-Not-Run"] == "true"
+
+
+def test_a_paused_node_refuses_until_it_has_asked_a_peer(cluster):
+    member = cluster.members[0]
+    lease = member.find("metrics")._lease
+    lease._last_beat -= 10.0
+    with pytest.raises(RequestError, match="paused"):
+        lease.check()
+    cluster.wait(lambda: not lease.is_lapsed, "the lease is held again")
+    assert call(member.callers, "GET", "/scenbok/scenes/1")[0] == 200
