--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 STAMP = $(VENV)/.installed
 PROJECTS = $(wildcard packages/*/pyproject.toml)
 
-.PHONY: help setup demo test lint format scenarios replay bench bench-control clean
+.PHONY: help setup demo test lint format scenarios replay bench bench-control bench-parts clean
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -49,5 +49,8 @@
 bench-control: setup  ## Measure control traffic of real nodes (SIZES=10,30,60).
 	$(BIN)/python -m godwitrack_lab.benchcontrol --sizes=$(SIZES)
 
+bench-parts: setup  ## Measure single parts at sizes up to 9,500 servers.
+	$(BIN)/python -m godwitrack_lab.benchparts
+
 clean:  ## Remove what the other targets made.
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
@@ -0,0 +1,147 @@
+"""Measures the cost of single parts at sizes that no fleet here can reach."""
+
+import random
+import time
+
+import psutil
+
+from godwitrack.clock import SystemClock
+from godwitrack.configuration import Change, Configuration
+from godwitrack.kernel import Kernel
+from godwitrack.messages import Call, Ping, decode_message
+from godwitrack_lab.stage import StageExclusions
+from godwitrack_node.directory import Directory, ServerRecord, ServerState
+from godwitrack_node.identity import Identity
+from godwitrack_node.ledger import Ledger
+from godwitrack_node.membership import choose_peers
+from godwitrack_node.routing import Location, Router
+
+SIZES = (16, 200, 9500)
+SERVICE_SIZE = 16
+CUSTOMERS = 2000
+LEDGER_ENTRIES = 40_000
+MICRO = 1e6
+
+
+def measure(function, count):
+    """Return the mean microseconds of a function."""
+    started = time.perf_counter()
+    for _ in range(count):
+        function()
+    return (time.perf_counter() - started) / count * MICRO
+
+
+def read_resident():
+    """Return the resident memory of this process, in kilobytes."""
+    return psutil.Process().memory_info().rss // 1024
+
+
+def make_record(index, version=1):
+    """Return the record of one server of a large fleet."""
+    return ServerRecord(
+        f"service-{index // SERVICE_SIZE}-{index}",
+        f"service-{index // SERVICE_SIZE}",
+        f"region-{index % 2}",
+        f"data-centre-{index % 4}",
+        f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}:8081",
+        13,
+        ServerState.WARM,
+        1_700_000_000_000_000,
+        version,
+    )
+
+
+def report_directory(size):
+    """Print what a directory of one size costs."""
+    clock = SystemClock()
+    before = read_resident()
+    directory = Directory(clock)
+    for index in range(size):
+        directory.merge(make_record(index))
+    grown = read_resident() - before
+    exclusions = StageExclusions()
+    kernel = Kernel()
+    kernel.register(directory)
+    kernel.register(exclusions)
+    router = Router(clock, Location("region-0", "data-centre-0"))
+    router.connect(kernel)
+    regions = frozenset(("region-0", "region-1"))
+    identity = Identity("service-0-0", "service-0", "region-0", "data-centre-0", 1)
+    versions = iter(range(2, 10_000_000))
+
+    def merge():
+        directory.merge(make_record(random.randrange(size), next(versions)))
+
+    print(f"directory of {size} servers")
+    print(f"  grown by, kB                {grown:10}")
+    cost = measure(lambda: router.choose("service-0", regions), 3000)
+    print(f"  choose a server, us         {cost:10.1f}")
+    print(f"  merge one record, us        {measure(merge, 2000):10.1f}")
+    print(
+        f"  digest of all, us           {measure(directory.compute_digest, 300):10.1f}"
+    )
+    records = directory.list_servers()
+    cost = measure(lambda: choose_peers(records, identity), 10)
+    print(f"  choose peers anew, us       {cost:10.1f}")
+    data = Ping("a", 1, 2**60, 5, [item.to_data() for item in records[:16]]).encode()
+    print(f"  bytes of a record in a ping {len(data) / 16:10.1f}")
+
+
+def report_messages():
+    """Print what messages cost."""
+    headers = [[f"header-{index}", "value" * 4] for index in range(8)]
+    call = Call(
+        *("id-1", 1, 1, "brand-ask", "interactive", "scenbok", "GET", "/scenes/7"),
+        *(headers, True, ["a", "b"], 900.0, 1, 2, 0, b"", False),
+    )
+    ping = Ping("service-1-1", 1_700_000_000_000_000, 2**60, 5, [])
+    for name, message in (("call", call), ("ping", ping)):
+        data = message.encode()
+        encode = measure(message.encode, 5000)
+        decode = measure(lambda data=data: decode_message(data), 5000)
+        print(f"{name}: {len(data)} bytes, {encode:.1f} us out, {decode:.1f} us in")
+
+
+def report_configuration():
+    """Print what one change of a large configuration costs."""
+    records = {
+        f"plan/plan-{index}": {
+            "regions": ["region-0"],
+            "requests_per_second": 10,
+            "routes": [{"service": "service-0", "methods": ["GET"], "path": "/"}],
+        }
+        for index in range(100)
+    }
+    for index in range(CUSTOMERS):
+        records[f"customer/customer-{index}"] = {
+            "plan": f"plan-{index % 100}",
+            "key_sha256": f"{index:064x}",
+        }
+    configuration = Configuration(1, records)
+    change = Change(2, "id", {"plan/plan-1": records["plan/plan-1"]}, "x", 0.0)
+    cost = measure(lambda: configuration.apply(change), 20)
+    print(f"apply a change, {len(records)} records: {cost / 1000:.2f} ms")
+
+
+def report_ledger():
+    """Print what the ledger's entries take."""
+    before = read_resident()
+    ledger = Ledger(SystemClock())
+    for index in range(LEDGER_ENTRIES):
+        ledger.claim(f"service-1-1.61b5a0e1f2c3d.{index:x}.0")
+        ledger.finish(f"service-1-1.61b5a0e1f2c3d.{index:x}.0", None)
+    grown = read_resident() - before
+    print(f"ledger: {grown * 1024 / LEDGER_ENTRIES:.0f} bytes an entry")
+
+
+def main():
+    """Run all parts."""
+    for size in reversed(SIZES):
+        report_directory(size)
+    report_ledger()
+    report_messages()
+    report_configuration()
+
+
+if __name__ == "__main__":
+    main()
