--- /dev/null
+++ b/packages/godwitrack_lab/src/godwitrack_lab/replay.py
@@ -0,0 +1,203 @@
+"""Replays a trace against the policy and its baselines, with and without faults."""
+
+import json
+import pathlib
+import random
+import sys
+
+from absl import flags
+
+from godwitrack.configuration import Configuration
+from godwitrack.exceptions import SettingsError
+from godwitrack.plans import read_lists
+from godwitrack_lab.deployment import Deployment
+from godwitrack_lab.stage import Flow, Stage
+from godwitrack_node.routing import POLICIES
+
+SEED = 5
+COPY_JITTER_SECONDS = 0.2
+FAULT_START = 1.0
+FAULT_SECONDS = 2.0
+NOISE_FACTOR = 10
+MEASURING_LIMIT = 6000  # Bytes a second for each node.
+FIELDS = ("at", "customer", "request_class", "service", "method", "path")
+
+
+class Arrival:
+    """One recorded request.
+
+    Attributes:
+        at: Seconds since the start of the trace.
+        flow_key: Customer, class, service and whether it is idempotent.
+        data_centre: Data centre of the node that received it.
+    """
+
+    __slots__ = ("at", "data_centre", "flow_key")
+
+    def __init__(self, at, flow_key, data_centre):
+        self.at = at
+        self.flow_key = flow_key
+        self.data_centre = data_centre
+
+
+def read_trace(path):
+    """Return the records of a trace.
+
+    Raises:
+        SettingsError: A line is no record of a request; the text names it.
+    """
+    records = []
+    try:
+        lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from None
+    for number, line in enumerate(lines, 1):
+        try:
+            record = json.loads(line)
+        except ValueError:
+            raise SettingsError(f"{path}: line {number}: not JSON") from None
+        for field in FIELDS:
+            if not isinstance(record, dict) or field not in record:
+                raise SettingsError(f"{path}: line {number}: {field}: missing")
+        records.append(record)
+    if not records:
+        raise SettingsError(f"{path}: no requests")
+    return records
+
+
+class Replay:
+    """One trace with what its deployment's plans say of it."""
+
+    def __init__(self, path, copies, service_ms):
+        self._records = read_trace(path)
+        self._deployment = Deployment(pathlib.Path(path).stem)
+        folder = self._deployment.folder
+        lists = read_lists(folder / "customers.yaml", folder / "plans.yaml")
+        self._configuration = Configuration(1, lists)
+        self._copies = copies
+        for place in self._deployment.servers:
+            place.seconds = service_ms / 1000
+        self._arrivals = [self._make_arrival(record) for record in self._records]
+
+    def play(self, policy, fault):
+        """Return the Stage after one run.
+
+        Args:
+            policy: Name of the policy.
+            fault: "none", "slow", "cold", "noisy" or "out".
+        """
+        flows = {}
+        for arrival in self._arrivals:
+            if arrival.flow_key not in flows:
+                flows[arrival.flow_key] = self._make_flow(arrival.flow_key)
+        stage = Stage(
+            self._deployment.servers, list(flows.values()), 2, SEED, policy, 1
+        )
+        stage.window = (FAULT_START, FAULT_START + FAULT_SECONDS)
+        rng = random.Random(SEED)
+        for arrival in self._arrivals:
+            flow = flows[arrival.flow_key]
+            for _ in range(self._count_copies(arrival, fault)):
+                moment = arrival.at + rng.random() * COPY_JITTER_SECONDS
+                stage.at(moment, stage.receive, flow, arrival.data_centre)
+        self._schedule(stage, fault)
+        stage.run(self._arrivals[-1].at)
+        return stage
+
+    def find_noisy(self):
+        """Return the customer that is noisy in the fault of that name."""
+        return self._arrivals[0].flow_key[0]
+
+    def _count_copies(self, arrival, fault):
+        is_noisy = fault == "noisy" and arrival.flow_key[0] == self.find_noisy()
+        if is_noisy and 0 <= arrival.at - FAULT_START < FAULT_SECONDS:
+            return self._copies * NOISE_FACTOR
+        return self._copies
+
+    def _make_arrival(self, record):
+        customer = self._configuration.customers_by_name[record["customer"]]
+        plan = self._configuration.find_plan(customer)
+        route = plan.find_route(record["service"], record["method"], record["path"])
+        key = (
+            record["customer"],
+            route.request_class.value,
+            record["service"],
+            route.idempotent,
+        )
+        start = self._records[0]["at"]
+        return Arrival(record["at"] - start, key, record.get("data_centre"))
+
+    def _make_flow(self, key):
+        customer = self._configuration.customers_by_name[key[0]]
+        plan = self._configuration.find_plan(customer)
+        data = {
+            "customer": key[0],
+            "class": key[1],
+            "service": key[2],
+            "idempotent": key[3],
+            "rate": 0,
+            "plan": plan.requests_per_second * self._copies,
+        }
+        return Flow(data, plan.regions)
+
+    def _schedule(self, stage, fault):
+        server = next(iter(stage.servers.values()))
+        end = FAULT_START + FAULT_SECONDS
+        if fault == "slow":
+            stage.at(FAULT_START, setattr, server, "factor", 10.0)
+            stage.at(end, setattr, server, "factor", 1.0)
+        elif fault == "cold":
+            stage.at(FAULT_START, setattr, server, "cold", True)
+            stage.at(end, setattr, server, "cold", False)
+        elif fault == "out":
+            stage.at(FAULT_START, stage.exclude, [server.place.data_centre])
+            stage.at(end, stage.exclude, [])
+
+
+def report(replay, fault):
+    """Print all policies side by side for one fault."""
+    print(f"\nfault: {fault}")
+    stages = {policy: replay.play(policy, fault) for policy in POLICIES}
+    print(f"{'p99 / p99.9 in ms, share of good answers':46} {'':4}".rstrip())
+    print(
+        f"{'customer, class, service':46}" + "".join(f"{name:>24}" for name in stages)
+    )
+    for index, flow in enumerate(next(iter(stages.values())).flows):
+        name = f"{flow.customer}, {flow.request_class.value}, {flow.service}"
+        cells = "".join(_format(stage.flows[index]) for stage in stages.values())
+        print(f"{name:46}{cells}")
+    cells = "".join(f"{_count_measuring(stage):>24}" for stage in stages.values())
+    print(f"{'measuring, bytes in region / across':46}{cells}")
+
+
+def _format(flow):
+    share = flow.good / max(flow.sent, 1)
+    text = f"{flow.find_percentile(99):.1f} / {flow.find_percentile(99.9):.1f}"
+    return f"{text} {share:6.3f}".rjust(24)
+
+
+def _count_measuring(stage):
+    counts = stage.measuring_bytes
+    return f"{counts['local']} / {counts['regional']}"
+
+
+def main(arguments):
+    """Replay a trace; returns the exit status."""
+    values = flags.FlagValues()
+    flags.DEFINE_string("trace", None, "Trace, a request log.", flag_values=values)
+    flags.DEFINE_integer("copies", 10, "Copies of each request.", flag_values=values)
+    flags.DEFINE_float("service_ms", 20.0, "Service time in ms.", flag_values=values)
+    values(arguments)
+    try:
+        replay = Replay(values.trace, values.copies, values.service_ms)
+    except SettingsError as error:
+        print(f"replay: {error}", file=sys.stderr)
+        return 2
+    print(f"noisy customer: {replay.find_noisy()}")
+    for fault in ("none", "slow", "cold", "noisy", "out"):
+        report(replay, fault)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -26,6 +26,8 @@
 DATA_CENTRE_SECONDS = 0.001
 REGION_SECONDS = 0.020
 REPORT_SECONDS = 0.5
+REPORT_BYTES = 120  # A request and an answer for one server's load.
+PIGGYBACK_BYTES = 8  # A load within an answer.
 COLD_FACTOR = 6.0
 OVERLOAD_POWER = 1.0
 JITTER = 0.2
@@ -222,6 +224,7 @@
         window: Times of arrival between which latencies are kept.
         attempts: Attempts made.
         wrong_regions: Requests that reached a server outside their regions.
+        measuring_bytes: Counter of bytes spent on load, by "local" and "regional".
     """
 
     def __init__(
@@ -242,6 +245,7 @@
         self.flows = flows
         self.attempts = 0
         self.wrong_regions = 0
+        self.measuring_bytes = collections.Counter()
         self._policy = policy
         self._rng = random.Random(seed)
         self._events = []
@@ -273,7 +277,8 @@
     def run(self, seconds):
         """Run the flows for a number of seconds and wait for every answer."""
         for flow in self.flows:
-            self.at(self._draw_gap(flow), self._arrive, flow, seconds)
+            if flow.rate > 0:
+                self.at(self._draw_gap(flow), self._arrive, flow, seconds)
         if self._policy == REPORTED_POLICY:
             self.at(REPORT_SECONDS, self._report, seconds)
         while self._events:
@@ -338,8 +343,20 @@
         if self.clock.now >= end:
             return
         self.at(self._draw_gap(flow), self._arrive, flow, end)
+        self.receive(flow)
+
+    def receive(self, flow, data_centre=None):
+        """Let one request of a flow arrive now.
+
+        Args:
+            flow: Flow.
+            data_centre: Where it arrives; any allowed one by default.
+        """
         near = [
-            entry for entry in self._entries if entry.location.region in flow.regions
+            entry
+            for entry in self._entries
+            if entry.location.region in flow.regions
+            and data_centre in (None, entry.location.data_centre)
         ]
         flow.sent += 1
         self._attempt(Job(flow, self._rng.choice(near), self.clock.now))
@@ -424,6 +441,7 @@
         now = self.clock.now
         if self._policy != REPORTED_POLICY:
             view.record_load(server.read_load(), now)
+            self._count_measuring(job.entry, server, PIGGYBACK_BYTES)
         if is_failure:
             view.record_failure(now - sent, now)
             job.flow.refused["backend failed"] += 1
@@ -456,6 +474,11 @@
                 record = self._directory.find(server.place.name)
                 view = entry.router.find_view(record)
                 view.record_load(server.read_load(), self.clock.now)
+                self._count_measuring(entry, server, REPORT_BYTES)
+
+    def _count_measuring(self, entry, server, count):
+        is_regional = server.place.region != entry.location.region
+        self.measuring_bytes["regional" if is_regional else "local"] += count
 
     def _find_delay(self, entry, server):
         place = server.place
--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -25,6 +25,7 @@
 RECORD_BYTES = 130
 REPAIR_ROUNDS = 3
 PLAN_SECONDS = 2.0
+PLAN_SECONDS_FOR_NODE = 0.001
 MIN_PING_GAP_SECONDS = 0.05
 PROBE_HELPERS = 2
 REGIONAL_LINK_BYTES_PER_SECOND = 30_000_000 / 8
@@ -200,8 +201,10 @@
         """Choose the peers anew if the directory changed."""
         now = self._clock.read_monotonic()
         version = self._directory.version
+        # The work grows with the fleet, so that it is done less often in a large one.
+        interval = max(PLAN_SECONDS, self.count_nodes() * PLAN_SECONDS_FOR_NODE)
         if self._peers and (
-            version == self._planned_version or now - self._planned_at < PLAN_SECONDS
+            version == self._planned_version or now - self._planned_at < interval
         ):
             return
         self._planned_version = version
