Warm the bench up before it measures

Cause: its first requests met a guard whose cap was still that of a cold start. Change: requests one by one first.

--- a/packages/godwitrack_lab/src/godwitrack_lab/bench.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/bench.py
@@ -21,6 +21,7 @@
 TARGET_MS = 0.8
 CHAIN_DEPTH = 17
 CPU_COUNT = 1500
+WARMUP_COUNT = 300
 WAYS = ("direct", "local", "remote")
 PERCENTILES = (50, 90, 99)
 
@@ -185,6 +186,7 @@
     with ProcessFleet(deployment, [scenbok, styrning]) as fleet:
         raise_capacity(fleet)
         bench = Bench(fleet)
+        bench.run_alone("local", WARMUP_COUNT)
         bench.run(RATES[-1], 3.0)
         report_cpu(bench)
         for rate in RATES:
