--- a/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
@@ -13,7 +13,7 @@
 from godwitrack_node.directory import Directory, ServerRecord, ServerState
 from godwitrack_node.identity import Identity
 from godwitrack_node.ledger import Ledger
-from godwitrack_node.membership import choose_peers
+from godwitrack_node.peers import choose_peers
 from godwitrack_node.routing import Location, Router
 
 SIZES = (16, 200, 9500)
--- a/packages/godwitrack_lab/src/godwitrack_lab/replay.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/replay.py
@@ -12,7 +12,7 @@
 from godwitrack.plans import read_lists
 from godwitrack_lab.deployment import Deployment
 from godwitrack_lab.stage import Flow, Stage
-from godwitrack_node.routing import POLICIES
+from godwitrack_node.policies import POLICIES
 
 SEED = 5
 COPY_JITTER_SECONDS = 0.2
--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -16,11 +16,13 @@
 from godwitrack.kernel import Kernel, Service
 from godwitrack.messages import Load
 from godwitrack.plans import RequestClass
-from godwitrack_node.admission import Admission, Ticket
+from godwitrack_node.admission import Admission
 from godwitrack_node.capacity import CapacityMemory
 from godwitrack_node.directory import Directory, ServerRecord, ServerState
+from godwitrack_node.policies import POLICIES
 from godwitrack_node.retries import RetryBudget, RetryRule
-from godwitrack_node.routing import POLICIES, Exclusions, Location, Router
+from godwitrack_node.routing import Exclusions, Location, Router
+from godwitrack_node.tickets import Ticket
 
 NEAR_SECONDS = 0.0002
 DATA_CENTRE_SECONDS = 0.001
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -4,6 +4,7 @@
 import threading
 
 from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_node.tickets import CustomerUse
 from godwitrack_node.warmup import WarmupCap
 
 QUEUE_FACTOR = 2
@@ -20,96 +21,6 @@
 MAX_WAIT_SECONDS = 0.1
 
 
-class Ticket:
-    """One request that asks to run.
-
-    Attributes:
-        customer: Name of the customer.
-        weight: Share that the customer buys; its plan's requests a second.
-        rank: Rank of the request's class, 0 for the most urgent.
-        deadline: Monotonic time in seconds after which it must not start.
-        kind: Hashable that groups requests of like duration.
-        granted_at: Monotonic time at which it was let through, or None.
-        refusal: RequestError if it was refused, or None.
-    """
-
-    __slots__ = (
-        "_decided",
-        "customer",
-        "deadline",
-        "granted_at",
-        "kind",
-        "on_decision",
-        "rank",
-        "refusal",
-        "weight",
-    )
-
-    def __init__(self, customer, weight, rank, deadline, kind="", on_decision=None):
-        """Take the attributes and a function called once the ticket is decided.
-
-        Args:
-            customer: Name of the customer.
-            weight: Share that the customer buys.
-            rank: Rank of the request's class.
-            deadline: Monotonic time in seconds.
-            kind: Hashable that groups requests of like duration.
-            on_decision: Called with the ticket when it is granted or refused
-                after having waited; None lets `wait` be used.
-        """
-        self.customer = customer
-        self.weight = weight
-        self.rank = rank
-        self.deadline = deadline
-        self.kind = kind
-        self.granted_at = None
-        self.refusal = None
-        self._decided = None
-        self.on_decision = on_decision
-
-    @property
-    def is_decided(self):
-        """Whether the ticket was granted or refused."""
-        return self.granted_at is not None or self.refusal is not None
-
-    def prepare_wait(self):
-        """Make the ticket ready to be waited for."""
-        if self.on_decision is None:
-            self._decided = threading.Event()
-
-    def wait(self, timeout):
-        """Wait until the ticket is decided or some seconds have passed."""
-        self._decided.wait(timeout)
-
-    def decide(self):
-        """Tell whoever waits that the ticket is decided."""
-        if self.on_decision is not None:
-            self.on_decision(self)
-        elif self._decided is not None:
-            self._decided.set()
-
-
-class CustomerUse:
-    """What one customer uses of the backend server.
-
-    Attributes:
-        in_flight: Requests running.
-        weight: Share that the customer buys.
-        last_seen: Monotonic time of its newest request, in seconds.
-        tokens: Requests that it may still start at once under its plan.
-        filled_at: Monotonic time at which the tokens were counted, in seconds.
-    """
-
-    __slots__ = ("filled_at", "in_flight", "last_seen", "tokens", "weight")
-
-    def __init__(self, weight, tokens, now):
-        self.in_flight = 0
-        self.weight = weight
-        self.last_seen = now
-        self.tokens = tokens
-        self.filled_at = now
-
-
 class Admission:
     """Decides about tickets; all methods may be called from any thread."""
 
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -10,7 +10,7 @@
 from godwitrack.kernel import Service
 from godwitrack.messages import Load
 from godwitrack.plans import RequestClass
-from godwitrack_node.admission import Admission, Ticket
+from godwitrack_node.admission import Admission
 from godwitrack_node.backend import BackendClient, BackendRequest
 from godwitrack_node.context import (
     CONTEXT_HEADER,
@@ -22,6 +22,7 @@
 from godwitrack_node.exchange import PartCollector
 from godwitrack_node.httpserver import HOP_HEADERS
 from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+from godwitrack_node.tickets import Ticket
 
 ANSWER_DROP_HEADERS = HOP_HEADERS | {NOT_RUN_HEADER.lower()}
 STATUS_SHED = 503
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -14,7 +14,7 @@
 from godwitrack_node.exchange import LinkSink, LinkSource
 from godwitrack_node.httpserver import ConnectionServer
 from godwitrack_node.ledger import KeptAnswer
-from godwitrack_node.membership import Session
+from godwitrack_node.peers import Session
 
 HANDSHAKE_SECONDS = 5.0
 IDLE_SECONDS = 60.0
--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -3,7 +3,6 @@
 import threading
 
 from godwitrack.exceptions import GodwitrackError, LinkError, MessageError
-from godwitrack.hashing import hash_text
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
 from godwitrack.messages import (
@@ -17,10 +16,8 @@
     Records,
 )
 from godwitrack_node.directory import BUCKETS, ServerRecord, ServerState
+from godwitrack_node.peers import BRIDGES, Peer, choose_peers
 
-RING_PEERS = 2
-MESH_PEERS = 2
-BRIDGES = 2
 MAX_NEWS = 64
 RECORD_BYTES = 130
 REPAIR_ROUNDS = 3
@@ -32,46 +29,6 @@
 REGIONAL_CONTROL_SHARE = 0.01
 
 
-class Peer:
-    """One node to which heartbeats are sent.
-
-    Attributes:
-        name: Its name, or its address where it is a seed not yet known by name.
-        address: "host:port" of its links.
-        is_regional: Whether it is in another region.
-        wake: Event that starts the next heartbeat at once.
-        is_stopped: Whether the task of this peer must end.
-        misses: Heartbeats missed in a row.
-    """
-
-    __slots__ = ("address", "is_regional", "is_stopped", "misses", "name", "wake")
-
-    def __init__(self, name, address, is_regional):
-        self.name = name
-        self.address = address
-        self.is_regional = is_regional
-        self.wake = threading.Event()
-        self.is_stopped = False
-        self.misses = 0
-
-
-class Session:
-    """What the accepting side keeps for one control link.
-
-    Attributes:
-        position: Position in the directory's log up to which news were sent.
-        sender: Name of the node at the other side.
-        is_regional: Whether it is in another region.
-    """
-
-    __slots__ = ("is_regional", "position", "sender")
-
-    def __init__(self):
-        self.position = None
-        self.sender = ""
-        self.is_regional = False
-
-
 class Membership(Service):
     """Keeps the directory alike at all nodes.
 
@@ -506,57 +463,3 @@
             received - self._counted[1],
         )
         self._counted = (sent, received)
-
-
-def choose_peers(records, identity):
-    """Return the records of the nodes to which a node sends heartbeats.
-
-    Args:
-        records: ServerRecords of all nodes known.
-        identity: Identity of the node that chooses.
-    """
-    alive = [
-        record
-        for record in records
-        if record.state is not ServerState.SILENT and record.name != identity.name
-    ]
-    near = [record for record in alive if record.region == identity.region]
-    chosen = {record.name: record for record in _choose_ring(near, identity.name)}
-    for record in _choose_mesh(near, identity.name):
-        chosen[record.name] = record
-    for record in _choose_bridged(alive, identity):
-        chosen[record.name] = record
-    return list(chosen.values())
-
-
-def _choose_ring(records, name):
-    """Return the nodes that follow a name on the ring of hashed names."""
-    own = hash_text(name)
-    ordered = sorted(records, key=lambda record: (hash_text(record.name) - own) % 2**64)
-    return ordered[:RING_PEERS]
-
-
-def _choose_mesh(records, name):
-    """Return the nodes with the lowest hash together with a name."""
-    ordered = sorted(records, key=lambda record: hash_text(record.name + name))
-    return ordered[:MESH_PEERS]
-
-
-def _choose_bridged(records, identity):
-    """Return the nodes of other regions with which a bridge keeps contact."""
-    own = hash_text("bridge" + identity.name)
-    lower = sum(
-        record.data_centre == identity.data_centre
-        and hash_text("bridge" + record.name) < own
-        for record in records
-    )
-    if lower >= BRIDGES:
-        return []
-    far = {}
-    for record in records:
-        if record.region != identity.region:
-            far.setdefault(record.data_centre, []).append(record)
-    return [
-        min(group, key=lambda record: hash_text(record.name + identity.name))
-        for group in far.values()
-    ]
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -7,7 +7,7 @@
 from godwitrack.clock import ManualClock
 from godwitrack_node.directory import Directory, ServerRecord, ServerState
 from godwitrack_node.identity import Identity
-from godwitrack_node.membership import RING_PEERS, choose_peers
+from godwitrack_node.peers import RING_PEERS, choose_peers
 
 RECORDS = st.builds(
     ServerRecord,
