--- a/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
@@ -43,12 +43,6 @@
 BACKEND_FATES = ("run", "unreachable", "run then break", "shed")
 
 
-class NullMetrics(Service):
-    """Metrics that keep nothing."""
-
-    name = "metrics"
-
-
 class FakeBackend:
     """A backend client that counts runs and answers with the request's operation.
 
@@ -288,12 +282,11 @@
         configurations = self.kernel.register(
             Configurations(self.clock, None, None, None, 1.0)
         )
-        self.kernel.register(NullMetrics())
         self.kernel.register(ExclusionRegister(self.clock, identity))
         self.kernel.register(
             LinkPool(self.clock, None, 1.0, lambda address, *_: self._open(address))
         )
-        router = self.kernel.register(Router(self.clock, Location(REGION, "home-a")))
+        self.kernel.register(Router(self.clock, Location(REGION, "home-a")))
         signer = ContextSigner(SECRET, 1)
         self.entry = Entry(self.clock, identity, self.settings, signer)
         for name in ("exclusions", "router"):
@@ -303,10 +296,8 @@
         for index in range(count):
             self.servers.append(InMemoryServer(self, f"shop-{index + 1}"))
             self.servers[-1].announce()
-        self.router = router
-        guard = self.kernel.register(_NoGuard())
+        self.kernel.register(_NoGuard())
         self.entry.connect(self.kernel)
-        assert guard
 
     def send(self, operation, idempotent):
         """Send one caller's request.
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -45,7 +45,6 @@
         self._configurations = None
         self._directory = None
         self._exclusions = None
-        self._metrics = None
         self._server_count = 1
         self._counted_version = None
         self.ledger = Ledger(clock)
@@ -56,7 +55,6 @@
         self._configurations = kernel.find("configurations")
         self._directory = kernel.find("directory")
         self._exclusions = kernel.find("exclusions")
-        self._metrics = kernel.find("metrics")
 
     def drain(self):
         """Refuse new requests as not run."""
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from cluster import IN_FORCE_SECONDS, Cluster, call
+from cluster import IN_FORCE_SECONDS, Cluster, call, fetch_json
 from godwitrack.exceptions import RequestError
+from godwitrack.store import HttpClient
 from godwitrack_node.directory import ServerState
 
 
@@ -213,3 +214,21 @@
         lease.check()
     cluster.wait(lambda: not lease.is_lapsed, "the lease is held again")
     assert call(member.callers, "GET", "/scenbok/scenes/1")[0] == 200
+
+
+def test_operators_see_metrics_and_readiness(cluster):
+    member = cluster.members[0]
+    address = str(member.settings.get("listen.operators"))
+    call(member.callers, "GET", "/scenbok/scenes/1")
+    assert fetch_json(address, "/readyz") == {"ready": True}
+    _, body = HttpClient(5.0).fetch("GET", f"http://{address}/metrics")
+    text = body.decode()
+    assert 'godwitrack_request_seconds_bucket{class="interactive"' in text
+    assert 'customer="brand-ask"' in text
+    assert 'godwitrack_state{name="revision"}' in text
+
+
+def test_orders_need_the_token(cluster):
+    address = str(cluster.members[0].settings.get("listen.operators"))
+    status, _ = HttpClient(5.0).fetch("POST", f"http://{address}/orders", b"{}")
+    assert status == 401
