Stop the node that a test leaves behind, and check that threads end

Ruled out with a dump of the threads: the fake servers, the operators' port, the scheduler.

A connection accepted while the server is interrupted is closed, not served.

Before: tests/test_nodes.py did not end within 100 s, and the new check named 16 threads.

--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -278,6 +278,7 @@
         self._limit = limit
         self._open = set()
         self._is_closed = False
+        self._is_interrupted = False
         self._socket = socket.create_server((address.host, address.port), backlog=512)
         self.address = self._socket.getsockname()
 
@@ -295,7 +296,8 @@
         self._socket.close()
 
     def interrupt(self):
-        """End the open connections."""
+        """End the open connections, and those that are accepted meanwhile."""
+        self._is_interrupted = True
         for sock in list(self._open):
             try:
                 sock.shutdown(socket.SHUT_RDWR)
@@ -312,6 +314,9 @@
                 sock.close()
                 continue
             self._open.add(sock)
+            if self._is_interrupted:
+                sock.close()
+                return
             self._executor.submit(self._run, sock, f"{remote[0]}:{remote[1]}")
 
     def _run(self, sock, remote):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -17,6 +17,7 @@
 
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.02
+CUT_SERVICES = ("callers", "link-server", "membership", "scheduler", "operators")
 IN_FORCE_SECONDS = 5.0  # The stated bound for today's size.
 
 
@@ -44,6 +45,7 @@
         self.settings = Settings(data)
         self.cluster = cluster
         self.node = None
+        self._killed = []
         self.start()
 
     def start(self):
@@ -69,7 +71,16 @@
     def callers(self):
         return str(self.settings.get("listen.callers"))
 
+    def kill(self):
+        """Cut the node off from everyone, with no notice to its peers."""
+        for name in CUT_SERVICES:
+            self.find(name).drain()
+            self.find(name).stop()
+        self._killed.append(self.node)
+
     def stop(self):
+        for node in self._killed:
+            node.stop()
         return self.node.stop()
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """Settings and fixtures that all tests share."""
 
 import os
+import threading
+import time
 
 import pytest
 from hypothesis import settings
@@ -13,6 +15,28 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+THREAD_END_SECONDS = 30.0
+
+
+@pytest.fixture(scope="session", autouse=True)
+def threads_end():
+    """Fail if a test left a thread that would keep the interpreter from ending."""
+    yield
+    deadline = time.monotonic() + THREAD_END_SECONDS
+    while (left := list_lasting_threads()) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert not left, f"threads that never end: {left}"
+
+
+def list_lasting_threads():
+    main = threading.main_thread()
+    return [
+        item.name
+        for item in threading.enumerate()
+        if not item.daemon and item is not main
+    ]
+
+
 @pytest.fixture
 def clock():
     return ManualClock()
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -79,10 +79,7 @@
 
 def test_a_killed_node_is_found_silent_and_returns(cluster):
     entry, target = cluster.members[0], cluster.members[1]
-    kernel = target.node.kernel
-    for name in ("callers", "link-server", "membership", "scheduler", "operators"):
-        kernel.find(name).drain()
-        kernel.find(name).stop()
+    target.kill()
     cluster.wait(
         lambda: (
             find_state(entry, target.place.name)
