Tell a chain's own time from that of the calls it waits for

Cause: no test ran chains of calls. The first one did: at 17 deep through two services the guard took the outer requests, which only wait for inner ones, for the answers of a server that had turned cold, let the cap fall to one slot, and the inner calls waited for slots that the outer ones held, until they were fenced. A context sent twice in a row also passed as genuine, since the decoder stops at the padding. Ruled out: the depth limit and the deadline, which were right; the retry rule, as the only server was the one that refused.

A small fake network cuts the links. The traffic counts a refused connection instead of ending its thread.

A chain that comes back to a server whose cap is one slot is still refused there, as not run.

--- a/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
@@ -31,9 +31,19 @@
         silent: Whether it reads requests and never answers.
         cold: Whether it is in a cold start.
         cold_slots: Most requests at once that it bears while cold.
+        call_others: Function of each HttpRequest that runs while it is served, for
+            calls to other services, or None.
     """
 
-    __slots__ = ("cold", "cold_slots", "factor", "failing", "seconds", "silent")
+    __slots__ = (
+        "call_others",
+        "cold",
+        "cold_slots",
+        "factor",
+        "failing",
+        "seconds",
+        "silent",
+    )
 
     def __init__(self, seconds=0.002, cold=False, cold_slots=1):
         self.seconds = seconds
@@ -42,6 +52,7 @@
         self.silent = False
         self.cold = cold
         self.cold_slots = cold_slots
+        self.call_others = None
 
 
 class BackendServer:
@@ -112,7 +123,7 @@
         operation = request.get(OPERATION_HEADER)
         self._enter(operation)
         try:
-            self._work()
+            self._work(request)
         finally:
             with self._lock:
                 self._active -= 1
@@ -135,8 +146,10 @@
             if operation:
                 self.runs[operation] += 1
 
-    def _work(self):
+    def _work(self, request):
         behaviour = self.behaviour
+        if behaviour.call_others is not None:
+            behaviour.call_others(request)
         if behaviour.failing:
             return
         seconds = behaviour.seconds * behaviour.factor
--- a/packages/godwitrack_lab/src/godwitrack_lab/load.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/load.py
@@ -131,17 +131,18 @@
             "Authorization": f"Bearer demo-key-{kind.customer}",
             "X-Operation": operation.operation,
         }
-        connection = connections.get(address)
-        if connection is None:
-            connection = connections[address] = open_connection(address)
         started = time.perf_counter()
         try:
+            connection = connections.get(address)
+            if connection is None:
+                connection = connections[address] = open_connection(address)
             connection.request(kind.method, kind.path, body, headers)
             response = connection.getresponse()
             answer = response.read()
         except (OSError, http.client.HTTPException) as error:
-            connection.close()
-            del connections[address]
+            connection = connections.pop(address, None)
+            if connection is not None:
+                connection.close()
             with self._lock:
                 self.operations.append(operation)
                 tally.sent += 1
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -90,6 +90,7 @@
                 self._start(ticket, use, now)
                 return
             self._check_wait(ticket, now)
+            ticket.wait_until = min(ticket.deadline, now + MAX_WAIT_SECONDS)
             ticket.prepare_wait()
             self._queue.append(ticket)
             # A slot may be free that those who wait already may not take.
@@ -120,7 +121,7 @@
         """
         now = self._clock.read_monotonic()
         with self._lock:
-            seconds = now - ticket.granted_at
+            seconds = ticket.find_own_seconds(now)
             self._running.discard(ticket)
             use = self._uses.get(ticket.customer)
             if use is not None:
@@ -133,7 +134,7 @@
             evicted = self._trim_queue()
             self._clean(now)
         for item in expired:
-            self._refuse(item, ErrorKind.DEADLINE_EXPIRED)
+            self._refuse(item, _find_expiry_kind(item, now))
         self._settle(started, evicted)
 
     def acquire(self, ticket):
@@ -146,13 +147,24 @@
         if ticket.granted_at is not None:
             return
         while not ticket.is_decided:
-            remaining = ticket.deadline - self._clock.read_monotonic()
+            now = self._clock.read_monotonic()
+            remaining = ticket.wait_until - now
             ticket.wait(max(remaining, 0.0))
             if remaining <= 0 and self.cancel(ticket):
-                raise RequestError(ErrorKind.DEADLINE_EXPIRED)
+                raise RequestError(_find_expiry_kind(ticket, now))
         if ticket.refusal is not None:
             raise ticket.refusal
 
+    def begin_nested(self, ticket):
+        """Note that a running request waits for a call to another service."""
+        with self._lock:
+            ticket.begin_nested(self._clock.read_monotonic())
+
+    def end_nested(self, ticket):
+        """Note that such a call is answered."""
+        with self._lock:
+            ticket.end_nested(self._clock.read_monotonic())
+
     def _check(self, ticket, now):
         if self._is_draining:
             raise RequestError(ErrorKind.STOPPING)
@@ -165,7 +177,7 @@
         Waiting for their answers would let more requests in meanwhile.
         """
         late = sum(
-            self.warmup.is_late(ticket.kind, now - ticket.granted_at)
+            self.warmup.is_late(ticket.kind, ticket.find_own_seconds(now))
             for ticket in self._running
         )
         if late >= LATE_TICKETS:
@@ -272,7 +284,7 @@
         return (ticket.rank, (use.in_flight + waiting) / use.weight, ticket.deadline)
 
     def _take_expired(self, now):
-        expired = [ticket for ticket in self._queue if ticket.deadline <= now]
+        expired = [ticket for ticket in self._queue if ticket.wait_until <= now]
         for ticket in expired:
             self._queue.remove(ticket)
         return expired
@@ -296,7 +308,10 @@
     def _rank_waiting(self, ticket):
         """Return the sort key by which waiting tickets start, lowest first."""
         use = self._uses[ticket.customer]
-        return (ticket.rank, use.in_flight / ticket.weight, ticket.deadline)
+        share = use.in_flight / ticket.weight
+        # Of one customer's calls the deepest goes first: the outer ones hold slots
+        # until it is answered.
+        return (ticket.rank, share, -ticket.depth, ticket.deadline)
 
     def _clean(self, now):
         if now < self._next_clean:
@@ -311,3 +326,10 @@
     def _refuse(self, ticket, kind):
         ticket.refusal = RequestError(kind)
         ticket.decide()
+
+
+def _find_expiry_kind(ticket, now):
+    """Return why a ticket that waited in vain is refused."""
+    if ticket.deadline <= now:
+        return ErrorKind.DEADLINE_EXPIRED
+    return ErrorKind.SERVER_BUSY
--- a/packages/godwitrack_node/src/godwitrack_node/context.py
+++ b/packages/godwitrack_node/src/godwitrack_node/context.py
@@ -78,7 +78,7 @@
             RequestError: UNAUTHENTICATED; this node did not write it.
         """
         try:
-            raw = base64.urlsafe_b64decode(value.encode())
+            raw = base64.b64decode(value.encode(), b"-_", validate=True)
         except ValueError:
             raw = b""
         signature, data = raw[:_SIGNATURE_BYTES], raw[_SIGNATURE_BYTES:]
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -133,7 +133,15 @@
                 the connection must be closed.
             CallerGone: The caller closed the connection.
         """
-        self._classify(errand, request)
+        context = self._read_context(request)
+        if context is None:
+            self._handle(errand, request, connection, None)
+            return
+        with self._guard.track_nested(context.request_id):
+            self._handle(errand, request, connection, context)
+
+    def _handle(self, errand, request, connection, context):
+        self._classify(errand, request, context)
         if request.length > self._max_body:
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         source = CallerSource(connection, self._max_body)
@@ -250,10 +258,9 @@
             more,
         )
 
-    def _classify(self, errand, request):
+    def _classify(self, errand, request, context):
         """Find customer, plan and route of a request and fill in the errand."""
         configuration = self._configurations.read()
-        context = self._read_context(request)
         customer = self._find_customer(configuration, context, request)
         errand.customer = customer.name
         plan = configuration.find_plan(customer)
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -1,5 +1,7 @@
 """The guard: the only way to the node's backend server."""
 
+import contextlib
+
 from godwitrack.exceptions import (
     CallerGone,
     DuplicateRequest,
@@ -47,6 +49,7 @@
         self._exclusions = None
         self._server_count = 1
         self._counted_version = None
+        self._tickets = {}
         self.ledger = Ledger(clock)
         self.admission = Admission(clock, self._cold_slots, self._cold_slots)
 
@@ -66,6 +69,23 @@
         revision = self._configurations.current.revision
         return Load(admission.in_flight, admission.queued, admission.limit, revision)
 
+    @contextlib.contextmanager
+    def track_nested(self, request_id):
+        """Keep the time of a nested call apart from its outer request's own.
+
+        Args:
+            request_id: Id of the outer request, which runs at this node.
+        """
+        ticket = self._tickets.get(request_id)
+        if ticket is None:
+            yield
+            return
+        self.admission.begin_nested(ticket)
+        try:
+            yield
+        finally:
+            self.admission.end_nested(ticket)
+
     def query(self, request_id, incarnation):
         """Say what became of a request; one that did not start is fenced.
 
@@ -106,9 +126,10 @@
         weight = self._check(call)
         rank = RequestClass(call.request_class).rank
         kind = (call.method, call.request_class)
-        ticket = Ticket(call.customer, weight, rank, deadline, kind)
+        ticket = Ticket(call.customer, weight, rank, deadline, kind, depth=call.depth)
         self.admission.server_count = self._count_servers()
         self.admission.acquire(ticket)
+        self._tickets[call.request_id] = ticket
         is_failure = True
         try:
             is_failure = self._execute(call, source, sink, deadline)
@@ -121,6 +142,7 @@
             is_failure = False
             raise
         finally:
+            self._tickets.pop(call.request_id, None)
             self.admission.release(ticket, is_failure)
 
     def _check(self, call):
--- a/packages/godwitrack_node/src/godwitrack_node/node.py
+++ b/packages/godwitrack_node/src/godwitrack_node/node.py
@@ -6,7 +6,7 @@
 
 from godwitrack.clock import SystemClock
 from godwitrack.kernel import Kernel
-from godwitrack.link import Authenticator
+from godwitrack.link import Authenticator, open_link
 from godwitrack.logs import find_logger
 from godwitrack.store import HttpObjectStore, HttpTableService
 from godwitrack_node.budget import ControlBudget
@@ -49,7 +49,9 @@
         identity: Identity of the node.
     """
 
-    def __init__(self, settings, clock=None, tables=None, objects=None):
+    def __init__(
+        self, settings, clock=None, tables=None, objects=None, connect=open_link
+    ):
         """Make all services without starting any.
 
         Args:
@@ -57,7 +59,9 @@
             clock: Clock; the machine's by default.
             tables: TableService; that of the settings by default.
             objects: ObjectStore; that of the settings by default.
+            connect: Function that opens links; see LinkPool.
         """
+        self._connect = connect
         self._clock = clock or SystemClock()
         self._log = find_logger("node")
         self._stop_asked = threading.Event()
@@ -130,7 +134,7 @@
             Scheduler(clock, executor),
             Metrics(clock, budget, lease),
             Directory(clock),
-            LinkPool(clock, authenticator, connect_timeout),
+            LinkPool(clock, authenticator, connect_timeout, self._connect),
             LinkServer(executor, settings.get("listen.links"), authenticator, budget),
             Rendezvous(clock, executor, self._tables, identity),
             Configurations(clock, executor, self._tables, self._objects, fleet_reads),
--- a/packages/godwitrack_node/src/godwitrack_node/tickets.py
+++ b/packages/godwitrack_node/src/godwitrack_node/tickets.py
@@ -12,23 +12,32 @@
         rank: Rank of the request's class, 0 for the most urgent.
         deadline: Monotonic time in seconds after which it must not start.
         kind: Hashable that groups requests of like duration.
+        depth: Position in the chain of calls.
+        wait_until: Monotonic time in seconds at which it stops waiting.
         granted_at: Monotonic time at which it was let through, or None.
         refusal: RequestError if it was refused, or None.
     """
 
     __slots__ = (
         "_decided",
+        "_nested_calls",
+        "_nested_seconds",
+        "_nested_since",
         "customer",
         "deadline",
+        "depth",
         "granted_at",
         "kind",
         "on_decision",
         "rank",
         "refusal",
+        "wait_until",
         "weight",
     )
 
-    def __init__(self, customer, weight, rank, deadline, kind="", on_decision=None):
+    def __init__(
+        self, customer, weight, rank, deadline, kind="", on_decision=None, depth=1
+    ):
         """Take the attributes and a function called once the ticket is decided.
 
         Args:
@@ -39,6 +48,7 @@
             kind: Hashable that groups requests of like duration.
             on_decision: Called with the ticket when it is granted or refused
                 after having waited; None lets `wait` be used.
+            depth: Position in the chain of calls.
         """
         self.customer = customer
         self.weight = weight
@@ -47,7 +57,12 @@
         self.kind = kind
         self.granted_at = None
         self.refusal = None
+        self.wait_until = deadline
+        self.depth = depth
         self._decided = None
+        self._nested_calls = 0
+        self._nested_seconds = 0.0
+        self._nested_since = 0.0
         self.on_decision = on_decision
 
     @property
@@ -55,6 +70,27 @@
         """Whether the ticket was granted or refused."""
         return self.granted_at is not None or self.refusal is not None
 
+    def begin_nested(self, now):
+        """Note that the request made a call to another service."""
+        if self._nested_calls == 0:
+            self._nested_since = now
+        self._nested_calls += 1
+
+    def end_nested(self, now):
+        """Note that such a call is answered."""
+        self._nested_calls -= 1
+        if self._nested_calls == 0:
+            self._nested_seconds += now - self._nested_since
+
+    def find_own_seconds(self, now):
+        """Return the seconds that it ran, without those in which it only waited
+        for other services; these tell nothing of its own backend server.
+        """
+        nested = self._nested_seconds
+        if self._nested_calls:
+            nested += now - self._nested_since
+        return now - self.granted_at - nested
+
     def prepare_wait(self):
         """Make the ticket ready to be waited for."""
         if self.on_decision is None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -13,6 +13,7 @@
 from godwitrack_lab.deployment import Deployment, find_ports, make_settings
 from godwitrack_lab.load import open_connection
 from godwitrack_lab.memory import MemoryObjects, MemoryPlatform, MemoryTables
+from godwitrack_lab.network import Network
 from godwitrack_node.node import Node
 
 WAIT_SECONDS = 30.0
@@ -50,8 +51,14 @@
 
     def start(self):
         """Start a node with an empty memory."""
-        tables, objects = self.cluster.tables, self.cluster.objects
-        self.node = Node(self.settings, tables=tables, objects=objects)
+        region, network = self.place.region, self.cluster.network
+        network.place(str(self.settings.get("listen.links")), region)
+        self.node = Node(
+            self.settings,
+            tables=network.guard_service(self.cluster.tables, region),
+            objects=network.guard_service(self.cluster.objects, region),
+            connect=network.make_connect(region),
+        )
         self.node.start()
         self.announce("warm")
 
@@ -85,15 +92,18 @@
 
 
 class Cluster:
-    """A few members of one deployment."""
+    """A few members of one deployment: the first of its servers, or those named."""
 
-    def __init__(self, count, deployment="ljusgemenskapen", services=("scenbok",)):
-        self.deployment = Deployment(deployment)
+    def __init__(self, count, names=()):
+        self.deployment = Deployment("ljusgemenskapen")
+        self.network = Network("sve-syd")
         self.platform = MemoryPlatform()
         self.tables = MemoryTables(self.platform)
         self.objects = MemoryObjects(self.platform)
         self.executor = ThreadPoolExecutor(2000)
-        places = [item for item in self.deployment.servers if item.service in services]
+        places = [
+            item for item in self.deployment.servers if not names or item.name in names
+        ]
         ports = find_ports(3 * count)
         seeds = [f"127.0.0.1:{port}" for port in ports[2:9:3]]
         self.members = [
@@ -144,12 +154,15 @@
         return runs
 
 
-def call(address, method, path, customer="brand-ask", operation="", body=None):
+def call(
+    address, method, path, customer="brand-ask", operation="", body=None, extra=()
+):
     """Send one request; returns status, headers and body."""
     connection = open_connection(address)
     headers = {
         "Authorization": f"Bearer demo-key-{customer}",
         "X-Operation": operation,
+        **dict(extra),
     }
     try:
         connection.request(method, path, body, headers)
