Pace large bodies on the link between regions by their delay

Ruled out: a fixed part for each node (1.6 KB/s at the size to design for), leases on bytes in the store (writes, and nothing in an outage).

Change: each part of a body but the last is confirmed, eight may be on their way, and between regions the sender sets its rate by the delay of the confirmations (LEDBAT, RFC 6817): parts of 8 KB after the first 16 KB, a rate that falls while the median delay is 3 ms above the least seen. A call says whether it crosses regions. The rate and the bytes are metrics. An answer that comes before the whole body was sent now ends the sending.

--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -70,7 +70,10 @@
 
 
 class Call(Message):
-    """A request sent to the node beside a backend server."""
+    """A request sent to the node beside a backend server.
+
+    The field `is_regional` tells whether the two nodes are in different regions.
+    """
 
     TAG = 1
     FIELDS = (
@@ -88,6 +91,7 @@
         ("deadline_ms", float),
         ("depth", int),
         ("retries_left", int),
+        ("is_regional", bool),
         ("length", int),
         ("body", bytes),
         ("more", bool),
@@ -216,7 +220,7 @@
 
 
 class Proceed(Message):
-    """Tells the sender of a request that the rest of its body may follow."""
+    """Tells the sender of a body that the rest may follow, or that a part came."""
 
     TAG = 15
     __slots__ = ()
--- a/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
@@ -92,7 +92,7 @@
     headers = [[f"header-{index}", "value" * 4] for index in range(8)]
     call = Call(
         *("id-1", 1, 1, "brand-ask", "interactive", "scenbok", "GET", "/scenes/7"),
-        *(headers, True, ["a", "b"], 900.0, 1, 2, 0, b"", False),
+        *(headers, True, ["a", "b"], 900.0, 1, 2, False, 0, b"", False),
     )
     ping = Ping("service-1-1", 1_700_000_000_000_000, 2**60, 5, [])
     for name, message in (("call", call), ("ping", ping)):
--- a/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
@@ -30,6 +30,7 @@
 from godwitrack_node.lease import LEASE_SECONDS, Lease
 from godwitrack_node.linkpool import LinkPool
 from godwitrack_node.linkserver import serve_call, serve_query
+from godwitrack_node.pacing import RegionalPacer
 from godwitrack_node.routing import Location, Router
 
 KEY = "key-of-the-only-customer"
@@ -283,6 +284,7 @@
             Configurations(self.clock, None, None, None, 1.0)
         )
         self.kernel.register(ExclusionRegister(self.clock, identity))
+        self.kernel.register(RegionalPacer(self.clock))
         self.kernel.register(
             LinkPool(self.clock, None, 1.0, lambda address, *_: self._open(address))
         )
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -21,6 +21,7 @@
     check_headers,
 )
 from godwitrack_node.ledger import OutcomeState
+from godwitrack_node.pacing import REGIONAL_FIRST_BYTES, PartSender
 
 QUERY_TIMEOUT_SECONDS = 1.0
 FIRST_PAUSE_SECONDS = 0.02
@@ -63,7 +64,7 @@
 class RemoteAttempt(Attempt):
     """An attempt over a link, which finds out what happened when the link fails."""
 
-    def __init__(self, clock, pool, address, silence, on_load):
+    def __init__(self, clock, pool, address, silence, on_load, pacer=None):
         """Prepare an attempt.
 
         Args:
@@ -72,12 +73,14 @@
             address: "host:port" of the other node's links.
             silence: Seconds without an answer after which the node is asked.
             on_load: Called with the Load in a refusal.
+            pacer: RegionalPacer where the other node is in another region.
         """
         self._clock = clock
         self._pool = pool
         self._address = address
         self._silence = silence
         self._on_load = on_load
+        self._pacer = pacer
 
     def run(self, call, source, sink):
         """Run the call over a link."""
@@ -118,11 +121,13 @@
     def _exchange(self, link, call, source, deadline):
         """Send the call and return the first message of its answer."""
         try:
+            rest = _RestOfBody(call, source)
+            if self._pacer is not None:
+                rest.split_first()
             link.send(call, self._find_left(deadline))
             message = self._receive(link, call, deadline)
             if type(message) is Proceed:
-                self._send_rest(link, source, deadline)
-                message = self._receive(link, call, deadline)
+                message = self._send_rest(link, call, rest, deadline)
             return message
         except (LinkError, MessageError):
             return self._resolve(call, deadline)
@@ -203,17 +208,18 @@
             return RequestError(ErrorKind.TIMEOUT)
         return RequestError(ErrorKind.OUTCOME_UNKNOWN)
 
-    def _send_rest(self, link, source, deadline):
+    def _send_rest(self, link, call, rest, deadline):
+        """Send the rest of the body and return the first message of the answer."""
+        sender = PartSender(link, self._clock, self._pacer)
         try:
-            while True:
-                part = source.read()
-                link.send(Chunk(bytes(part), bool(part)), self._find_left(deadline))
-                if not part:
-                    return
+            message = rest.send(sender, deadline)
         except (CallerGone, RequestError):
             # The other node must not take a broken body for a whole one.
             link.abort()
             raise
+        while message is None:
+            message = sender.take(self._receive(link, call, deadline))
+        return message
 
     def _relay(self, link, message, sink, deadline):
         """Hand an answer to the sink and return the load in it."""
@@ -234,13 +240,53 @@
             if type(part) is not Chunk:
                 raise RequestError(ErrorKind.ANSWER_LOST)
             more = part.more
+            if more:
+                self._confirm_part(link, deadline)
             sink.write(part.data, more)
         return load
 
+    def _confirm_part(self, link, deadline):
+        try:
+            link.send(Proceed(), self._find_left(deadline))
+        except LinkError:
+            raise RequestError(ErrorKind.ANSWER_LOST) from None
+
     def _find_left(self, deadline):
         return max(deadline - self._clock.read_monotonic(), 0.0)
 
 
+class _RestOfBody:
+    """What of a request's body follows the call."""
+
+    def __init__(self, call, source):
+        self._call = call
+        self._source = source
+        self._has_source = call.more
+        self._head = b""
+
+    def split_first(self):
+        """Leave only a short first part in the call."""
+        call = self._call
+        if len(call.body) > REGIONAL_FIRST_BYTES:
+            self._head = call.body[REGIONAL_FIRST_BYTES:]
+            call.body = call.body[:REGIONAL_FIRST_BYTES]
+            call.more = True
+
+    def send(self, sender, deadline):
+        """Send all of it; returns a message that ended the sending, or None."""
+        if self._head:
+            message = sender.send(self._head, self._has_source, deadline)
+            if message is not None:
+                return message
+        while self._has_source:
+            part = self._source.read()
+            self._has_source = bool(part)
+            message = sender.send(part, self._has_source, deadline)
+            if message is not None:
+                return message
+        return None
+
+
 class _RefusedByNode(RequestError):
     """The other node's own refusal, after which the link can be used again."""
 
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -104,6 +104,7 @@
         self._configurations = None
         self._router = None
         self._pool = None
+        self._pacer = None
         self._guard = None
         self._capacity = CapacityMemory(clock)
         self.retry_budget = RetryBudget()
@@ -113,6 +114,7 @@
         self._configurations = kernel.find("configurations")
         self._router = kernel.find("router")
         self._pool = kernel.find("link-pool")
+        self._pacer = kernel.find("regional-pacer")
         self._guard = kernel.find("guard")
 
     def begin(self, request):
@@ -218,8 +220,12 @@
             view.record.address,
             self._silence,
             lambda load: self._take_load(view, load),
+            self._pacer if self._is_regional(view.record) else None,
         )
 
+    def _is_regional(self, record):
+        return record.region != self._identity.region
+
     def _take_load(self, view, load):
         view.record_load(load, self._clock.read_monotonic())
         if load.revision > self._configurations.current.revision:
@@ -253,6 +259,7 @@
             left * 1000.0,
             errand.depth,
             errand.retry_rule.retries_left,
+            self._is_regional(record),
             request.length,
             body,
             more,
--- a/packages/godwitrack_node/src/godwitrack_node/exchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/exchange.py
@@ -9,8 +9,8 @@
     RequestError,
 )
 from godwitrack.messages import Answer, Chunk, Proceed
+from godwitrack_node.pacing import PART_BYTES, REGIONAL_FIRST_BYTES
 
-PART_BYTES = 64 * 1024
 BODY_TIMEOUT_SECONDS = 20.0
 NO_BODY_STATUSES = (204, 304)
 
@@ -153,30 +153,56 @@
         if type(message) is not Chunk:
             raise CallerGone("the body broke off")
         self._is_done = not message.more
+        if message.more:
+            self._confirm_part()
         return message.data
 
+    def _confirm_part(self):
+        try:
+            self._link.send(Proceed(), BODY_TIMEOUT_SECONDS)
+        except LinkError as error:
+            raise CallerGone(str(error)) from None
+
 
 class LinkSink(AnswerSink):
     """Sends an answer over a link."""
 
-    def __init__(self, link, request_id, read_load):
+    def __init__(self, link, call, read_load, sender, clock):
+        """Prepare for one answer.
+
+        Args:
+            link: Link on which the call came.
+            call: Call.
+            read_load: Function that returns the Load of the backend server.
+            sender: PartSender for what follows the first part.
+            clock: Clock.
+        """
         self._link = link
-        self._request_id = request_id
+        self._request_id = call.request_id
+        self._first_bytes = REGIONAL_FIRST_BYTES if call.is_regional else PART_BYTES
         self._read_load = read_load
+        self._sender = sender
+        self._clock = clock
         self.is_started = False
 
     def start(self, status, headers, length, body, more):
         """Send the head and the first part."""
         self.is_started = True
         load = self._read_load().to_data()
+        first, rest = body[: self._first_bytes], body[self._first_bytes :]
+        has_next = more or bool(rest)
         answer = Answer(
-            self._request_id, status, headers, load, length, bytes(body), more
+            self._request_id, status, headers, load, length, bytes(first), has_next
         )
         self._link.send(answer, BODY_TIMEOUT_SECONDS)
+        if rest:
+            self.write(rest, more)
 
     def write(self, body, more):
         """Send a further part."""
-        self._link.send(Chunk(bytes(body), more), BODY_TIMEOUT_SECONDS)
+        deadline = self._clock.read_monotonic() + BODY_TIMEOUT_SECONDS
+        if self._sender.send(body, more, deadline) is not None:
+            raise CallerGone("the other node sent something else")
 
 
 class PartCollector:
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -21,9 +21,10 @@
     REQUEST_ID_HEADER,
     RequestContext,
 )
-from godwitrack_node.exchange import PartCollector
+from godwitrack_node.exchange import LinkSink, PartCollector
 from godwitrack_node.httpserver import HOP_HEADERS
 from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+from godwitrack_node.pacing import PartSender
 from godwitrack_node.tickets import Ticket
 
 ANSWER_DROP_HEADERS = HOP_HEADERS | {NOT_RUN_HEADER.lower()}
@@ -46,6 +47,7 @@
         )
         self._configurations = None
         self._directory = None
+        self._pacer = None
         self._exclusions = None
         self._server_count = 1
         self._counted_version = None
@@ -57,6 +59,7 @@
         """Find the collaborators."""
         self._configurations = kernel.find("configurations")
         self._directory = kernel.find("directory")
+        self._pacer = kernel.find("regional-pacer")
         self._exclusions = kernel.find("exclusions")
 
     def drain(self):
@@ -86,6 +89,12 @@
         finally:
             self.admission.end_nested(ticket)
 
+    def make_sink(self, link, call):
+        """Return the LinkSink for the answer to a call that came over a link."""
+        pacer = self._pacer if call.is_regional else None
+        sender = PartSender(link, self._clock, pacer)
+        return LinkSink(link, call, self.read_load, sender, self._clock)
+
     def query(self, request_id, incarnation):
         """Say what became of a request; one that did not start is fenced.
 
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -11,7 +11,7 @@
 from godwitrack.link import accept_link
 from godwitrack.logs import find_logger
 from godwitrack.messages import Call, Outcome, Query, Refused, check_headers
-from godwitrack_node.exchange import LinkSink, LinkSource
+from godwitrack_node.exchange import LinkSource
 from godwitrack_node.httpserver import ConnectionServer
 from godwitrack_node.ledger import KeptAnswer
 from godwitrack_node.peers import Session
@@ -111,7 +111,7 @@
         CallerGone: The exchange broke off, so that the link can't be used again.
     """
     check_headers(call.headers)
-    sink = LinkSink(link, call.request_id, guard.read_load)
+    sink = guard.make_sink(link, call)
     source = LinkSource(link)
     try:
         guard.run(call, source, sink)
--- a/packages/godwitrack_node/src/godwitrack_node/metrics.py
+++ b/packages/godwitrack_node/src/godwitrack_node/metrics.py
@@ -219,6 +219,8 @@
             "store_failures": configurations.store_failures,
             "servers_known": len(self._kernel.find("directory").list_servers()),
             "peers": len(self._kernel.find("membership").peers),
+            "regional_rate": self._kernel.find("regional-pacer").rate,
+            "regional_body_bytes": self._kernel.find("regional-pacer").sent_bytes,
             "retry_balance": entry.retry_budget.balance,
             "lease_lapses": self._lease.lapses,
             "links_opened": self._kernel.find("link-pool").opened,
--- a/packages/godwitrack_node/src/godwitrack_node/node.py
+++ b/packages/godwitrack_node/src/godwitrack_node/node.py
@@ -31,6 +31,7 @@
 from godwitrack_node.metrics import Metrics
 from godwitrack_node.operators import OperatorsPort
 from godwitrack_node.orders import Orders
+from godwitrack_node.pacing import RegionalPacer
 from godwitrack_node.rendezvous import Rendezvous
 from godwitrack_node.requestlog import RequestLog
 from godwitrack_node.routing import Location, Router
@@ -141,6 +142,7 @@
             Membership(clock, executor, identity, settings, lease, budget),
             ExclusionRegister(clock, identity),
             Orders(clock),
+            RegionalPacer(clock),
             Router(clock, location),
             Guard(clock, identity, settings, signer, lease),
             Entry(clock, identity, settings, signer),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -32,7 +32,7 @@
         (cbor2.dumps([99]), "unknown tag"),
         (cbor2.dumps([Query.TAG, "a"]), "has 2 fields"),
         (cbor2.dumps([Query.TAG, "a", True]), "Query.incarnation is no int"),
-        (cbor2.dumps([Call.TAG] + [0] * 17), "Call.request_id is no str"),
+        (cbor2.dumps([Call.TAG] + [0] * len(Call.FIELDS)), "Call.request_id is no str"),
     ],
 )
 def test_a_wrong_message_is_named(data, expected):
