Give a node that joins the whole directory in one compressed message

Cause: at 9,500 records of 80 bytes the repair of an empty directory took 760 KB, twice what a peer saves of its 6 KB/s, so that a join took over a minute; the peer also read all records once for each of 256 buckets, and each merge rebuilt the tuple of its service. Ruled out: handing over called services first (a second kind of repair, and the rest would still take a minute).

Change: Records travel compressed with zlib, with a bound on what is unpacked; the directory keeps the names of each bucket, a dict for each service and the number of servers; peers are chosen with a heap.

--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -1,9 +1,13 @@
 """Typed messages between nodes and their encoding in CBOR."""
 
+import zlib
+
 import cbor2
 
 from godwitrack.exceptions import MessageError
 
+MAX_UNPACKED_BYTES = 16 * 2**20
+
 
 class Message:
     """Base of all messages.
@@ -177,11 +181,37 @@
 
 
 class Records(Message):
-    """Records of the directory in the buckets that differ."""
+    """Records of the directory in the buckets that differ, compressed."""
 
     TAG = 10
-    FIELDS = (("buckets", list), ("records", list))
-    __slots__ = ("buckets", "records")
+    FIELDS = (("buckets", list), ("packed", bytes))
+    __slots__ = ("buckets", "packed")
+
+    @classmethod
+    def pack(cls, buckets, records):
+        """Return the message for some records.
+
+        Args:
+            buckets: Numbers of the buckets whose records are all there.
+            records: Records as plain data, a list.
+        """
+        return cls(buckets, zlib.compress(cbor2.dumps(records)))
+
+    def unpack(self):
+        """Return the records as plain data.
+
+        Raises:
+            MessageError: They are malformed, or too many.
+        """
+        decompressor = zlib.decompressobj()
+        try:
+            data = decompressor.decompress(self.packed, MAX_UNPACKED_BYTES)
+            records = cbor2.loads(data)
+        except (zlib.error, cbor2.CBORDecodeError) as error:
+            raise MessageError(f"Records.packed is malformed: {error}") from None
+        if not decompressor.eof or type(records) is not list:
+            raise MessageError("Records.packed holds no list, or too long a one")
+        return records
 
 
 class ChangesRequest(Message):
--- a/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
@@ -8,9 +8,14 @@
 from godwitrack.clock import SystemClock
 from godwitrack.configuration import Change, Configuration
 from godwitrack.kernel import Kernel
-from godwitrack.messages import Call, Ping, decode_message
+from godwitrack.messages import Call, Ping, Records, decode_message
 from godwitrack_lab.stage import StageExclusions
-from godwitrack_node.directory import Directory, ServerRecord, ServerState
+from godwitrack_node.directory import (
+    BUCKETS,
+    Directory,
+    ServerRecord,
+    ServerState,
+)
 from godwitrack_node.identity import Identity
 from godwitrack_node.ledger import Ledger
 from godwitrack_node.peers import choose_peers
@@ -87,6 +92,31 @@
     print(f"  bytes of a record in a ping {len(data) / 16:10.1f}")
 
 
+def report_join(size):
+    """Print what it costs to give a node that joins the whole directory."""
+    rng = random.Random(1)
+    clock = SystemClock()
+    full, empty = Directory(clock), Directory(clock)
+    for index in range(size):
+        incarnation = 1_700_000_000_000_000 + rng.randrange(10**13)
+        full.merge(make_record(index).replace(incarnation=incarnation))
+
+    def pack():
+        records = [
+            item for bucket in range(BUCKETS) for item in full.list_bucket(bucket)
+        ]
+        data = [item.to_data() for item in records]
+        return Records.pack(list(range(BUCKETS)), data).encode()
+
+    def merge():
+        for item in decode_message(pack()).unpack():
+            empty.merge(ServerRecord.from_data(item))
+
+    print(f"join of {size} servers: {len(pack())} bytes")
+    print(f"  given, ms                   {measure(pack, 1) / 1000:10.1f}")
+    print(f"  given and taken, ms         {measure(merge, 1) / 1000:10.1f}")
+
+
 def report_messages():
     """Print what messages cost."""
     headers = [[f"header-{index}", "value" * 4] for index in range(8)]
@@ -138,6 +168,7 @@
     """Run all parts."""
     for size in reversed(SIZES):
         report_directory(size)
+        report_join(size)
     report_ledger()
     report_messages()
     report_configuration()
--- a/packages/godwitrack_node/src/godwitrack_node/directory.py
+++ b/packages/godwitrack_node/src/godwitrack_node/directory.py
@@ -154,6 +154,8 @@
         self._changed_at = {}
         self._services = {}
         self._digests = [0] * BUCKETS
+        self._buckets = [set() for _ in range(BUCKETS)]
+        self._server_count = 0
         self._log = []
         self._log_start = 0
         self._version = 0
@@ -200,7 +202,8 @@
 
     def find_service(self, service):
         """Return the records of all servers of a service, as a tuple."""
-        return self._services.get(service, ())
+        with self._lock:
+            return tuple(self._services.get(service, {}).values())
 
     def has_service(self, service):
         """Tell whether any server of this service is known."""
@@ -215,6 +218,10 @@
                 if record.state is not ServerState.GONE and not record.is_notice
             ]
 
+    def count_servers(self):
+        """Return the number of servers that are not gone."""
+        return self._server_count
+
     def list_notices(self):
         """Return the notices of operators that have not expired."""
         oldest = self._clock.read_wall() * 1000 - NOTICE_RETENTION_MS
@@ -259,11 +266,7 @@
     def list_bucket(self, bucket):
         """Return all records in a bucket, those of gone servers included."""
         with self._lock:
-            return [
-                record
-                for record in self._records.values()
-                if find_bucket(record.name) == bucket
-            ]
+            return [self._records[name] for name in self._buckets[bucket]]
 
     def expire(self):
         """Forget servers that are gone, and give up those silent for long."""
@@ -287,10 +290,12 @@
     def _store(self, held, record):
         name = record.name
         bucket = find_bucket(name)
-        for item in (held, record):
+        for item, change in ((held, -1), (record, 1)):
             if item is not None and item.state is not ServerState.GONE:
                 self._digests[bucket] ^= item.compute_hash()
+                self._server_count += 0 if item.is_notice else change
         self._records[name] = record
+        self._buckets[bucket].add(name)
         self._changed_at[name] = self._clock.read_monotonic()
         self._version += 1
         if not record.is_notice:
@@ -298,26 +303,17 @@
 
     def _index(self, held, record):
         if held is not None and held.service != record.service:
-            self._unindex(held)
-        others = [
-            item
-            for item in self._services.get(record.service, ())
-            if item.name != record.name
-        ]
-        if record.state is not ServerState.GONE:
-            others.append(record)
-        self._services[record.service] = tuple(others)
-
-    def _unindex(self, record):
-        self._services[record.service] = tuple(
-            item
-            for item in self._services.get(record.service, ())
-            if item.name != record.name
-        )
+            self._services[held.service].pop(held.name, None)
+        servers = self._services.setdefault(record.service, {})
+        if record.state is ServerState.GONE:
+            servers.pop(record.name, None)
+        else:
+            servers[record.name] = record
 
     def _forget(self, record):
         del self._records[record.name]
         del self._changed_at[record.name]
+        self._buckets[find_bucket(record.name)].discard(record.name)
         self._version += 1
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -20,6 +20,7 @@
 
 MAX_NEWS = 64
 RECORD_BYTES = 130
+PACKED_RECORD_BYTES = 30
 REPAIR_ROUNDS = 3
 PLAN_SECONDS = 2.0
 PLAN_SECONDS_FOR_NODE = 0.001
@@ -103,7 +104,7 @@
 
     def count_nodes(self):
         """Return the number of nodes known, this one included."""
-        return max(len(self._directory.list_servers()), 1)
+        return max(self._directory.count_servers(), 1)
 
     def publish(self, state, slots):
         """Tell all nodes the state of the own backend server.
@@ -143,7 +144,7 @@
         if kind is DigestRequest:
             return self._answer_digests(message, session)
         if kind is Records:
-            self._merge_all(message.records, session.sender)
+            self._merge_all(message.unpack(), session.sender)
             return self.make_ping(Pong, [])
         if kind is ChangesRequest:
             return self._configurations.list_changes(message.after)
@@ -269,11 +270,11 @@
         for bucket, digest in enumerate(message.digests):
             if digest == own[bucket]:
                 continue
-            if buckets and len(records) * RECORD_BYTES > allowance:
+            if buckets and len(records) * PACKED_RECORD_BYTES > allowance:
                 break
             buckets.append(bucket)
             records.extend(self._directory.list_bucket(bucket))
-        return Records(buckets, [record.to_data() for record in records])
+        return Records.pack(buckets, [record.to_data() for record in records])
 
     def _merge_all(self, items, source):
         for item in items:
@@ -443,8 +444,9 @@
         answer = self._link.receive(5.0)
         if type(answer) is not Records:
             raise MessageError("expected Records")
-        self._membership._merge_all(answer.records, pong.sender)
-        theirs = {item[0]: tuple(item[7:]) for item in answer.records}
+        records = answer.unpack()
+        self._membership._merge_all(records, pong.sender)
+        theirs = {item[0]: tuple(item[7:]) for item in records}
         missing = []
         for bucket in answer.buckets:
             for record in self._directory.list_bucket(int(bucket)):
@@ -452,7 +454,7 @@
                 if theirs.get(record.name) != newest:
                     missing.append(record.to_data())
         if missing:
-            self._link.send(Records([], missing), 5.0)
+            self._link.send(Records.pack([], missing), 5.0)
             self._link.receive(5.0)
 
     def _count(self):
--- a/packages/godwitrack_node/src/godwitrack_node/peers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/peers.py
@@ -1,5 +1,6 @@
 """Peers: the nodes with which a node exchanges heartbeats, and how they are chosen."""
 
+import heapq
 import threading
 
 from godwitrack.hashing import hash_text
@@ -74,14 +75,18 @@
 def _choose_ring(records, name):
     """Return the nodes that follow a name on the ring of hashed names."""
     own = hash_text(name)
-    ordered = sorted(records, key=lambda record: (hash_text(record.name) - own) % 2**64)
-    return ordered[:RING_PEERS]
+    return heapq.nsmallest(
+        RING_PEERS,
+        records,
+        key=lambda record: (hash_text(record.name) - own) % 2**64,
+    )
 
 
 def _choose_mesh(records, name):
     """Return the nodes with the lowest hash together with a name."""
-    ordered = sorted(records, key=lambda record: hash_text(record.name + name))
-    return ordered[:MESH_PEERS]
+    return heapq.nsmallest(
+        MESH_PEERS, records, key=lambda record: hash_text(record.name + name)
+    )
 
 
 def _choose_bridged(records, identity):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,14 +1,27 @@
 """Tests of the directory, which is the same in whatever order news come."""
 
+import random
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from godwitrack.clock import ManualClock
-from godwitrack_node.directory import Directory, ServerRecord, ServerState
+from godwitrack.messages import Records
+from godwitrack_node.budget import BURST_SECONDS
+from godwitrack_node.directory import (
+    BUCKETS,
+    GONE_RETENTION_SECONDS,
+    Directory,
+    ServerRecord,
+    ServerState,
+)
 from godwitrack_node.identity import Identity
 from godwitrack_node.peers import RING_PEERS, choose_peers
 
+FULL_FLEET = 9500
+CONTROL_BYTES_PER_SECOND = 6000
+
 RECORDS = st.builds(
     ServerRecord,
     st.sampled_from(["a", "b", "c"]),
@@ -54,6 +67,45 @@
     return record.replace(**changes)
 
 
+@given(st.lists(RECORDS, max_size=12))
+def test_buckets_and_count_follow_the_records(records):
+    directory = Directory(ManualClock())
+    for record in records:
+        directory.merge(record)
+    listed = [item for index in range(BUCKETS) for item in directory.list_bucket(index)]
+    assert {item.name for item in listed} == {item.name for item in records}
+    assert all(item is directory.find(item.name) for item in listed)
+    assert directory.count_servers() == len(directory.list_servers())
+
+
+def test_a_forgotten_server_leaves_its_bucket(clock):
+    directory = Directory(clock)
+    directory.merge(make_record(1))
+    directory.merge(make_record(1, state=ServerState.GONE, version=2))
+    assert directory.count_servers() == 0
+    clock.advance(GONE_RETENTION_SECONDS + 1)
+    directory.expire()
+    assert directory.find("server-1") is None
+    assert not any(directory.list_bucket(index) for index in range(BUCKETS))
+
+
+def test_a_node_that_joins_the_full_fleet_is_given_all_of_it_at_once(clock):
+    """The whole directory fits what one peer has saved of its 6 KB a second."""
+    rng = random.Random(1)
+    full, joining = Directory(clock), Directory(clock)
+    for index in range(FULL_FLEET):
+        incarnation = 1_700_000_000_000_000 + rng.randrange(10**13)
+        full.merge(make_record(index, incarnation=incarnation))
+    records = [
+        item.to_data() for index in range(BUCKETS) for item in full.list_bucket(index)
+    ]
+    message = Records.pack(list(range(BUCKETS)), records)
+    assert len(message.encode()) < CONTROL_BYTES_PER_SECOND * BURST_SECONDS
+    for item in message.unpack():
+        joining.merge(ServerRecord.from_data(item))
+    assert joining.compute_digest() == full.compute_digest()
+
+
 def test_a_gone_server_that_was_never_known_stays_unknown(clock):
     directory = Directory(clock)
     assert not directory.merge(make_record(1, state=ServerState.GONE))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,12 +1,21 @@
 """Tests of the messages between nodes."""
 
+import zlib
+
 import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from godwitrack.exceptions import MessageError
-from godwitrack.messages import MESSAGES, Call, Query, decode_message
+from godwitrack.messages import (
+    MAX_UNPACKED_BYTES,
+    MESSAGES,
+    Call,
+    Query,
+    Records,
+    decode_message,
+)
 
 SAMPLES = {str: "a", int: 1, bool: True, bytes: b"x", list: [], float: 0.5}
 
@@ -40,6 +49,31 @@
         decode_message(data)
 
 
+RECORDS = [["server-1", 1], ["server-2", 2]]
+
+
+def test_records_come_back_as_they_were():
+    message = decode_message(Records.pack([1, 2], RECORDS).encode())
+    assert message.buckets == [1, 2]
+    assert message.unpack() == RECORDS
+
+
+@pytest.mark.parametrize(
+    ("packed", "expected"),
+    [
+        (b"", "malformed"),
+        (b"no zlib", "malformed"),
+        (Records.pack([], RECORDS).packed[:-6], "malformed|too long"),
+        (zlib.compress(b"\xff\xff"), "malformed"),
+        (zlib.compress(cbor2.dumps("text")), "no list"),
+        (zlib.compress(cbor2.dumps([b"\0" * MAX_UNPACKED_BYTES])), "malformed"),
+    ],
+)
+def test_wrong_records_are_refused(packed, expected):
+    with pytest.raises(MessageError, match=expected):
+        Records([], packed).unpack()
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_refused(data):
     try:
