Lock what threads share of a server's load; hold instead of falling cold

Cause: make bench at 400 a second ended connections without an answer and got refusals from a server with two of 13 slots in use. The first: the times of the requests in flight were a deque without a lock; two requests ending at once raised "deque mutated during iteration" after the answer had gone out (or before, as an internal error). The second: two running requests older than four times the baseline (9 ms here) put the cap to one slot, so that a hiccup of the machine refused callers, and two slow uploads or slow readers kept a server at one slot for as long as they lasted. Ruled out: idle time-outs and the connection limit (no log line, few connections).

Change: a lock for each server's view. While two running requests are late nothing starts, and their answers decide whether the cap falls, as they did before. Only the time until the answer begins counts, and none for requests whose caller still sends the body. A connection's thread that fails logs it instead of vanishing. Seen on the way, by reading: the exclusions and the count of servers kept version and content apart, so that two threads could leave an older content under a newer version for good; nonces were remembered without a lock.

--- a/packages/godwitrack/src/godwitrack/link.py
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+import threading
 import time
 
 from websockets.client import ClientProtocol
@@ -176,6 +177,7 @@
         self._secret = secret.encode()
         self._clock = clock
         self._seen = collections.OrderedDict()
+        self._lock = threading.Lock()
 
     def make_proof(self):
         """Return a proof for one opening handshake."""
@@ -193,10 +195,10 @@
         if not hmac.compare_digest(expected.encode(), signature.encode()):
             return False
         now = self._clock.read_wall()
-        if abs(now - int(moment)) > PROOF_AGE_SECONDS or nonce in self._seen:
+        if abs(now - int(moment)) > PROOF_AGE_SECONDS:
             return False
-        self._remember(nonce, now)
-        return True
+        with self._lock:
+            return self._remember(nonce, now)
 
     def make_answer(self, proof):
         """Return the proof that the accepting side knows the secret."""
@@ -207,12 +209,15 @@
         return hmac.new(self._secret, text, hashlib.sha256).hexdigest()
 
     def _remember(self, nonce, now):
+        """Remember a nonce; returns whether it is new."""
+        if nonce in self._seen:
+            return False
         self._seen[nonce] = now
-        while self._seen:
+        oldest = next(iter(self._seen))
+        while now - self._seen[oldest] > 2 * PROOF_AGE_SECONDS:
+            del self._seen[oldest]
             oldest = next(iter(self._seen))
-            if now - self._seen[oldest] <= 2 * PROOF_AGE_SECONDS:
-                break
-            self._seen.pop(oldest, None)
+        return True
 
 
 def open_link(address, authenticator, timeout):
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -81,7 +81,6 @@
         now = self._clock.read_monotonic()
         with self._lock:
             self._check(ticket, now)
-            self._check_running(now)
             use = self._find_use(ticket, now)
             self._take_token(use, now)
             if ticket.rank == 0:
@@ -171,17 +170,16 @@
         if ticket.deadline <= now:
             raise RequestError(ErrorKind.DEADLINE_EXPIRED)
 
-    def _check_running(self, now):
-        """Let the cap fall as soon as running requests show that the server is cold.
+    def _is_held(self, now):
+        """Tell whether running requests are so late that the server may be cold.
 
-        Waiting for their answers would let more requests in meanwhile.
+        Nothing starts meanwhile; their answers decide whether the cap falls.
         """
         late = sum(
             self.warmup.is_late(ticket.kind, ticket.find_own_seconds(now))
             for ticket in self._running
         )
-        if late >= LATE_TICKETS:
-            self.warmup.fall()
+        return late >= LATE_TICKETS
 
     def _find_use(self, ticket, now):
         use = self._uses.get(ticket.customer)
@@ -214,7 +212,7 @@
         reserve to the most urgent one.
         """
         free = self.warmup.cap - len(self._running)
-        if free <= 0:
+        if free <= 0 or self._is_held(now):
             return False
         if ticket.rank > 0 and now - self._urgent_at < ACTIVE_SECONDS:
             return free > self._find_reserve()
@@ -291,6 +289,8 @@
 
     def _start_waiting(self, now):
         started = []
+        if not self._queue or self._is_held(now):
+            return started
         while self._queue and len(self._running) < self.warmup.cap:
             startable = [
                 item
--- a/packages/godwitrack_node/src/godwitrack_node/exclusions.py
+++ b/packages/godwitrack_node/src/godwitrack_node/exclusions.py
@@ -22,8 +22,7 @@
         self._identity = identity
         self._directory = None
         self._configurations = None
-        self._cached = Exclusions()
-        self._cached_version = None
+        self._cached = (None, Exclusions())
 
     def connect(self, kernel):
         """Find the directory and the configuration."""
@@ -38,10 +37,13 @@
     def read(self):
         """Return the Exclusions in force."""
         version = (self.version, self._directory.version)
-        if version != self._cached_version:
-            self._cached = self._build()
-            self._cached_version = version
-        return self._cached
+        # Version and content are kept as one, or two threads that build at the same
+        # time could leave an older content under a newer version.
+        cached_version, exclusions = self._cached
+        if version != cached_version:
+            exclusions = self._build()
+            self._cached = (version, exclusions)
+        return exclusions
 
     def covers_self(self):
         """Tell whether the node's own backend server is taken out."""
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -49,8 +49,7 @@
         self._directory = None
         self._pacer = None
         self._exclusions = None
-        self._server_count = 1
-        self._counted_version = None
+        self._counted = (None, 1)
         self._tickets = {}
         self.ledger = Ledger(clock)
         self.admission = Admission(clock, self._cold_slots, self._cold_slots)
@@ -134,14 +133,14 @@
         deadline = now + call.deadline_ms / 1000.0
         weight = self._check(call)
         rank = RequestClass(call.request_class).rank
-        kind = (call.method, call.request_class)
+        kind = None if call.more else (call.method, call.request_class)
         ticket = Ticket(call.customer, weight, rank, deadline, kind, depth=call.depth)
         self.admission.server_count = self._count_servers()
         self.admission.acquire(ticket)
         self._tickets[call.request_id] = ticket
         is_failure = True
         try:
-            is_failure = self._execute(call, source, sink, deadline)
+            is_failure = self._execute(call, source, sink, deadline, ticket)
         except RequestError as error:
             is_failure = not error.answer.not_run or (
                 error.kind is ErrorKind.BACKEND_UNREACHABLE
@@ -181,17 +180,18 @@
     def _count_servers(self):
         """Return the servers among which a customer's capacity is divided."""
         version = (self._directory.version, self._exclusions.version)
-        if version != self._counted_version:
+        counted_version, count = self._counted
+        if version != counted_version:
             exclusions = self._exclusions.read()
             servers = self._directory.find_service(self._identity.service)
-            self._server_count = sum(
+            count = sum(
                 record.state.is_serving and not exclusions.covers(record)
                 for record in servers
             )
-            self._counted_version = version
-        return max(self._server_count, 1)
+            self._counted = (version, count)
+        return max(count, 1)
 
-    def _execute(self, call, source, sink, deadline):
+    def _execute(self, call, source, sink, deadline, ticket):
         """Run an admitted request; returns whether the backend server failed."""
         request = self._make_request(call, source, deadline)
         collector = PartCollector(sink, ANSWER_DROP_HEADERS)
@@ -199,6 +199,7 @@
 
         def take_head(status, headers, length):
             nonlocal is_shed
+            ticket.answered_at = self._clock.read_monotonic()
             names = [name.lower() for name, _ in headers]
             is_shed = status == STATUS_SHED and NOT_RUN_HEADER.lower() in names
             collector.take_head(status, headers, length)
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -7,6 +7,7 @@
 import httptools
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack.logs import find_logger
 
 MAX_HEAD_BYTES = 64 * 1024
 RECEIVE_BYTES = 64 * 1024
@@ -279,6 +280,7 @@
         self._open = set()
         self._is_closed = False
         self._is_interrupted = False
+        self._log = find_logger("connections")
         self._socket = socket.create_server((address.host, address.port), backlog=512)
         self.address = self._socket.getsockname()
 
@@ -322,6 +324,8 @@
     def _run(self, sock, remote):
         try:
             self._serve(sock, remote)
+        except Exception:
+            self._log.exception("connection ended", remote=remote)
         finally:
             self._open.discard(sock)
             sock.close()
--- a/packages/godwitrack_node/src/godwitrack_node/serverview.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverview.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import threading
 
 from godwitrack_node.directory import ServerState
 
@@ -31,6 +32,7 @@
     """
 
     __slots__ = (
+        "_lock",
         "avoid_until",
         "failures",
         "in_flight",
@@ -54,6 +56,7 @@
         self.failures = 0
         self.avoid_until = 0.0
         self.sent_at = collections.deque()
+        self._lock = threading.Lock()
 
     @property
     def limit(self):
@@ -85,15 +88,17 @@
         """
         trust = 0.5 ** ((now - self.latency_at) / LATENCY_DECAY_SECONDS)
         latency = self.latency * trust
-        waiting = len(self.sent_at)
-        if waiting:
-            latency = max(latency, now - self.sent_at[waiting // 2])
+        with self._lock:
+            waiting = len(self.sent_at)
+            if waiting:
+                latency = max(latency, now - self.sent_at[waiting // 2])
         return latency + MIN_LATENCY_SECONDS
 
     def record_sent(self, now):
         """Count a request that was sent."""
-        self.in_flight += 1
-        self.sent_at.append(now)
+        with self._lock:
+            self.in_flight += 1
+            self.sent_at.append(now)
 
     def record_load(self, load, now):
         """Take over a report of load."""
@@ -127,11 +132,12 @@
 
     def _forget(self, sent_at):
         """Take one request out of those in flight."""
-        self.in_flight = max(self.in_flight - 1, 0)
-        if not self.sent_at:
-            return
-        nearest = min(self.sent_at, key=lambda moment: abs(moment - sent_at))
-        self.sent_at.remove(nearest)
+        with self._lock:
+            self.in_flight = max(self.in_flight - 1, 0)
+            if not self.sent_at:
+                return
+            nearest = min(self.sent_at, key=lambda moment: abs(moment - sent_at))
+            self.sent_at.remove(nearest)
 
     def _learn(self, seconds, now):
         age = now - self.latency_at
--- a/packages/godwitrack_node/src/godwitrack_node/tickets.py
+++ b/packages/godwitrack_node/src/godwitrack_node/tickets.py
@@ -11,10 +11,12 @@
         weight: Share that the customer buys; its plan's requests a second.
         rank: Rank of the request's class, 0 for the most urgent.
         deadline: Monotonic time in seconds after which it must not start.
-        kind: Hashable that groups requests of like duration.
+        kind: Hashable that groups requests of like duration, or None for one whose
+            duration is its caller's, who still sends the body.
         depth: Position in the chain of calls.
         wait_until: Monotonic time in seconds at which it stops waiting.
         granted_at: Monotonic time at which it was let through, or None.
+        answered_at: Monotonic time at which its answer began, or None.
         refusal: RequestError if it was refused, or None.
     """
 
@@ -23,6 +25,7 @@
         "_nested_calls",
         "_nested_seconds",
         "_nested_since",
+        "answered_at",
         "customer",
         "deadline",
         "depth",
@@ -56,6 +59,7 @@
         self.deadline = deadline
         self.kind = kind
         self.granted_at = None
+        self.answered_at = None
         self.refusal = None
         self.wait_until = deadline
         self.depth = depth
@@ -83,13 +87,16 @@
             self._nested_seconds += now - self._nested_since
 
     def find_own_seconds(self, now):
-        """Return the seconds that it ran, without those in which it only waited
-        for other services; these tell nothing of its own backend server.
+        """Return the seconds that its own backend server took until the answer began.
+
+        The time in which it waited for other services is left out, as is that in
+        which its caller read the answer.
         """
         nested = self._nested_seconds
         if self._nested_calls:
             nested += now - self._nested_since
-        return now - self.granted_at - nested
+        end = now if self.answered_at is None else self.answered_at
+        return max(end - self.granted_at - nested, 0.0)
 
     def prepare_wait(self):
         """Make the ticket ready to be waited for."""
--- a/packages/godwitrack_node/src/godwitrack_node/warmup.py
+++ b/packages/godwitrack_node/src/godwitrack_node/warmup.py
@@ -76,7 +76,7 @@
         """Tell whether a request that still runs takes as long as a cold server's.
 
         Args:
-            kind: Hashable that groups requests of like duration.
+            kind: Hashable that groups requests of like duration, or None.
             seconds: Time since it started.
         """
         baseline = self._baselines.get(kind)
@@ -88,7 +88,8 @@
         """Learn from one finished request.
 
         Args:
-            kind: Hashable that groups requests of like duration.
+            kind: Hashable that groups requests of like duration, or None for one
+                whose time tells nothing of the server.
             seconds: Time the backend server took.
             is_failure: Whether it failed or gave no answer.
             now: Monotonic time in seconds.
@@ -96,6 +97,8 @@
         if is_failure:
             self._record_bad(self.cold_slots)
             return
+        if kind is None:
+            return
         baseline = self._baselines.get(kind, seconds)
         ratio = seconds / baseline if baseline > 0 else 1.0
         weight = FAST_WEIGHT if seconds < baseline else SLOW_WEIGHT
