Share slots by use averaged over half a second, not by use at the moment

A quiet customer at home on two of six servers sends in bursts; each burst was beyond its share for 20 ms and then waited in turn behind a customer at ten times its rate, whose every slot was "within its share" again. Ruled out, by following each of its requests: refusals and retries (none), the choice of server (both of its servers were full).

Change: who starts next, and who may take the last free slots, goes by the slots in use averaged over half a second. A guard's part of a plan counts the servers of the plan's regions only, not those of all regions.

--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -318,15 +318,18 @@
         server.admission.warmup.cap = place.slots
 
     def _count_servers(self):
-        """Tell every guard among how many a customer's capacity is divided."""
+        """Count the servers of each service and region that are not taken out."""
         exclusions = self._exclusions.read()
-        counts = collections.Counter(
-            server.place.service
+        self._counts = collections.Counter(
+            (server.place.service, server.place.region)
             for server in self.servers.values()
             if not exclusions.covers(server.place)
         )
-        for server in self.servers.values():
-            server.admission.server_count = counts[server.place.service]
+
+    def _find_rate(self, flow):
+        """Return one server's part of what a flow's plan allows a second."""
+        counts = [self._counts[flow.service, region] for region in flow.regions]
+        return flow.weight / max(sum(counts), 1)
 
     def _make_entry(self, region, data_centre):
         location = Location(region, data_centre)
@@ -392,6 +395,7 @@
             job.arrived + DEADLINE_SECONDS,
             flow.request_class,
             lambda item: self._decided(item, job, view, server, sent),
+            rate=self._find_rate(flow) if is_product else None,
         )
         try:
             server.admission.offer(ticket)
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -34,7 +34,6 @@
         self._is_draining = False
         self._next_clean = 0.0
         self._urgent_at = -ACTIVE_SECONDS
-        self.server_count = 1
         self.warmup = WarmupCap(cold_slots, slots)
 
     @property
@@ -82,7 +81,7 @@
         with self._lock:
             self._check(ticket, now)
             use = self._find_use(ticket, now)
-            self._take_token(use, now)
+            self._take_token(use, ticket.rate, now)
             if ticket.rank == 0:
                 self._urgent_at = now
             if not self._queue and self._may_start(ticket, use, now):
@@ -124,7 +123,7 @@
             self._running.discard(ticket)
             use = self._uses.get(ticket.customer)
             if use is not None:
-                use.in_flight -= 1
+                use.change(-1, now)
             self.warmup.record(ticket.kind, seconds, is_failure, now)
             change = seconds - self._service_seconds
             self._service_seconds += SERVICE_WEIGHT * change
@@ -184,21 +183,15 @@
     def _find_use(self, ticket, now):
         use = self._uses.get(ticket.customer)
         if use is None:
-            burst = self._compute_burst(ticket.weight)
+            burst = _compute_burst(ticket.rate)
             use = self._uses[ticket.customer] = CustomerUse(ticket.weight, burst, now)
         use.weight = ticket.weight
         use.last_seen = now
         return use
 
-    def _compute_rate(self, weight):
-        return weight * CAPACITY_SLACK / max(self.server_count, 1)
-
-    def _compute_burst(self, weight):
-        return max(self._compute_rate(weight) * BURST_SECONDS, MIN_BURST)
-
-    def _take_token(self, use, now):
-        filled = use.tokens + (now - use.filled_at) * self._compute_rate(use.weight)
-        use.tokens = min(filled, self._compute_burst(use.weight))
+    def _take_token(self, use, rate, now):
+        filled = use.tokens + (now - use.filled_at) * rate * CAPACITY_SLACK
+        use.tokens = min(filled, _compute_burst(rate))
         use.filled_at = now
         if use.tokens < 1.0:
             raise RequestError(ErrorKind.OVER_CAPACITY)
@@ -207,9 +200,10 @@
     def _may_start(self, ticket, use, now):
         """Tell whether a customer may take one more slot.
 
-        Slots beyond a customer's share are lent to it, except for a small reserve
-        that the others find free at once. Less urgent classes leave the same
-        reserve to the most urgent one.
+        A customer that has used less than its share on average may use every free
+        slot. Beyond that slots are lent to it, except for a small reserve that the
+        others find free at once. Less urgent classes leave the same reserve to the
+        most urgent one.
         """
         free = self.warmup.cap - len(self._running)
         if free <= 0 or self._is_held(now):
@@ -217,7 +211,7 @@
         if ticket.rank > 0 and now - self._urgent_at < ACTIVE_SECONDS:
             return free > self._find_reserve()
         reserve = self._compute_reserve(use)
-        return use.in_flight < self._compute_share(use) or free > reserve
+        return use.find_average(now) < self._compute_share(use) or free > reserve
 
     def _compute_share(self, use):
         now = use.last_seen
@@ -240,7 +234,7 @@
     def _start(self, ticket, use, now):
         ticket.granted_at = now
         self._running.add(ticket)
-        use.in_flight += 1
+        use.change(1, now)
 
     def _check_wait(self, ticket, now):
         """Refuse a ticket that would wait for long, since others may be free."""
@@ -297,7 +291,9 @@
                 for item in self._queue
                 if self._may_start(item, self._uses[item.customer], now)
             ]
-            ticket = min(startable, key=self._rank_waiting, default=None)
+            ticket = min(
+                startable, key=lambda item: self._rank_waiting(item, now), default=None
+            )
             if ticket is None:
                 break
             self._queue.remove(ticket)
@@ -305,10 +301,12 @@
             started.append(ticket)
         return started
 
-    def _rank_waiting(self, ticket):
+    def _rank_waiting(self, ticket, now):
         """Return the sort key by which waiting tickets start, lowest first."""
         use = self._uses[ticket.customer]
-        share = use.in_flight / ticket.weight
+        # The average lets a burst of a customer that is mostly quiet pass before
+        # the steady load of one that is not.
+        share = use.find_average(now) / ticket.weight
         # Of one customer's calls the deepest goes first: the outer ones hold slots
         # until it is answered.
         return (ticket.rank, share, -ticket.depth, ticket.deadline)
@@ -328,6 +326,11 @@
         ticket.decide()
 
 
+def _compute_burst(rate):
+    """Return the requests that may start at once under a rate a second."""
+    return max(rate * CAPACITY_SLACK * BURST_SECONDS, MIN_BURST)
+
+
 def _find_expiry_kind(ticket, now):
     """Return why a ticket that waited in vain is refused."""
     if ticket.deadline <= now:
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -1,5 +1,6 @@
 """The guard: the only way to the node's backend server."""
 
+import collections
 import contextlib
 
 from godwitrack.exceptions import (
@@ -49,7 +50,7 @@
         self._directory = None
         self._pacer = None
         self._exclusions = None
-        self._counted = (None, 1)
+        self._counted = (None, collections.Counter())
         self._tickets = {}
         self.ledger = Ledger(clock)
         self.admission = Admission(clock, self._cold_slots, self._cold_slots)
@@ -131,11 +132,19 @@
     def _run(self, call, source, sink):
         now = self._clock.read_monotonic()
         deadline = now + call.deadline_ms / 1000.0
-        weight = self._check(call)
+        plan, regions = self._check(call)
         rank = RequestClass(call.request_class).rank
         kind = None if call.more else (call.method, call.request_class)
-        ticket = Ticket(call.customer, weight, rank, deadline, kind, depth=call.depth)
-        self.admission.server_count = self._count_servers()
+        weight = plan.requests_per_second
+        ticket = Ticket(
+            call.customer,
+            weight,
+            rank,
+            deadline,
+            kind,
+            depth=call.depth,
+            rate=weight / self._count_servers(regions),
+        )
         self.admission.acquire(ticket)
         self._tickets[call.request_id] = ticket
         is_failure = True
@@ -154,7 +163,7 @@
             self.admission.release(ticket, is_failure)
 
     def _check(self, call):
-        """Check that the request may run here and return the customer's weight."""
+        """Check that the request may run here; returns its Plan and regions."""
         if call.incarnation != self._identity.incarnation:
             raise RequestError(ErrorKind.STALE_INCARNATION)
         self._lease.check()
@@ -173,23 +182,25 @@
         route = plan.find_route(call.service, call.method, call.path.partition("?")[0])
         if route is None:
             raise RequestError(ErrorKind.NOT_ALLOWED)
-        if region not in plan.find_regions(route):
+        regions = plan.find_regions(route)
+        if region not in regions:
             raise RequestError(ErrorKind.WRONG_REGION)
-        return plan.requests_per_second
+        return plan, regions
 
-    def _count_servers(self):
-        """Return the servers among which a customer's capacity is divided."""
+    def _count_servers(self, regions):
+        """Return the servers of some regions that serve the own service."""
         version = (self._directory.version, self._exclusions.version)
-        counted_version, count = self._counted
+        counted_version, counts = self._counted
         if version != counted_version:
             exclusions = self._exclusions.read()
             servers = self._directory.find_service(self._identity.service)
-            count = sum(
-                record.state.is_serving and not exclusions.covers(record)
+            counts = collections.Counter(
+                record.region
                 for record in servers
+                if record.state.is_serving and not exclusions.covers(record)
             )
-            self._counted = (version, count)
-        return max(count, 1)
+            self._counted = (version, counts)
+        return max(sum(counts[region] for region in regions), 1)
 
     def _execute(self, call, source, sink, deadline, ticket):
         """Run an admitted request; returns whether the backend server failed."""
--- a/packages/godwitrack_node/src/godwitrack_node/tickets.py
+++ b/packages/godwitrack_node/src/godwitrack_node/tickets.py
@@ -1,7 +1,10 @@
 """Tickets: requests that ask to run, and what their customers use."""
 
+import math
 import threading
 
+AVERAGE_SECONDS = 0.5
+
 
 class Ticket:
     """One request that asks to run.
@@ -9,6 +12,7 @@
     Attributes:
         customer: Name of the customer.
         weight: Share that the customer buys; its plan's requests a second.
+        rate: This server's part of that, in requests a second.
         rank: Rank of the request's class, 0 for the most urgent.
         deadline: Monotonic time in seconds after which it must not start.
         kind: Hashable that groups requests of like duration, or None for one whose
@@ -33,13 +37,22 @@
         "kind",
         "on_decision",
         "rank",
+        "rate",
         "refusal",
         "wait_until",
         "weight",
     )
 
     def __init__(
-        self, customer, weight, rank, deadline, kind="", on_decision=None, depth=1
+        self,
+        customer,
+        weight,
+        rank,
+        deadline,
+        kind="",
+        on_decision=None,
+        depth=1,
+        rate=None,
     ):
         """Take the attributes and a function called once the ticket is decided.
 
@@ -52,9 +65,11 @@
             on_decision: Called with the ticket when it is granted or refused
                 after having waited; None lets `wait` be used.
             depth: Position in the chain of calls.
+            rate: This server's part of the weight; all of it by default.
         """
         self.customer = customer
         self.weight = weight
+        self.rate = weight if rate is None else rate
         self.rank = rank
         self.deadline = deadline
         self.kind = kind
@@ -126,7 +141,15 @@
         filled_at: Monotonic time at which the tokens were counted, in seconds.
     """
 
-    __slots__ = ("filled_at", "in_flight", "last_seen", "tokens", "weight")
+    __slots__ = (
+        "_average",
+        "_noted_at",
+        "filled_at",
+        "in_flight",
+        "last_seen",
+        "tokens",
+        "weight",
+    )
 
     def __init__(self, weight, tokens, now):
         self.in_flight = 0
@@ -134,3 +157,21 @@
         self.last_seen = now
         self.tokens = tokens
         self.filled_at = now
+        self._average = 0.0
+        self._noted_at = now
+
+    def change(self, count, now):
+        """Add to the requests running, and to the average as far as time has passed.
+
+        Args:
+            count: 1 or -1.
+            now: Monotonic time in seconds.
+        """
+        self._average = self.find_average(now)
+        self._noted_at = now
+        self.in_flight += count
+
+    def find_average(self, now):
+        """Return the slots in use, averaged over about AVERAGE_SECONDS."""
+        weight = 1.0 - math.exp(-(now - self._noted_at) / AVERAGE_SECONDS)
+        return self._average + weight * (self.in_flight - self._average)
