Ask sooner about a silent read, by the server's usual answers

Cause: a silent server or connection cost each read the fixed 500 ms of links.silence_ms, and up to a second more to ask a node that does not answer at all.

Change: a request that may be repeated waits eight times the moving average of the server's good answers, between 150 ms (longer than the guard's queue, since asking fences what waits there) and links.silence_ms; asking takes no longer than that. Others wait as before.

--- a/packages/godwitrack_lab/src/godwitrack_lab/network.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/network.py
@@ -15,6 +15,7 @@
         is_cut: Whether regions can't reach each other, nor the platform from any
             region but its own.
         connections: Links opened between regions.
+        lost_connections: How many of them, counted from the first, are silent.
     """
 
     def __init__(self, platform_region):
@@ -22,6 +23,11 @@
         self._regions = {}
         self.is_cut = False
         self.connections = 0
+        self.lost_connections = 0
+
+    def lose_connections(self):
+        """Let the links open now fall silent for good, while new ones work."""
+        self.lost_connections = self.connections
 
     def place(self, address, region):
         """Note in which region an address of links is."""
@@ -39,7 +45,7 @@
             if not far:
                 return link
             self.connections += 1
-            return _RegionalLink(link, self)
+            return _RegionalLink(link, self, self.connections)
 
         return connect
 
@@ -53,8 +59,9 @@
 class _RegionalLink:
     """A link whose messages get lost while the network is cut, until it is closed."""
 
-    def __init__(self, link, network):
+    def __init__(self, link, network, number):
         self._link = link
+        self._number = number
         self._network = network
         self._is_lost = False
 
@@ -77,7 +84,9 @@
         return message
 
     def _check_lost(self):
-        self._is_lost = self._is_lost or self._network.is_cut
+        network = self._network
+        if network.is_cut or self._number <= network.lost_connections:
+            self._is_lost = True
         return self._is_lost
 
 
--- a/packages/godwitrack_lab/src/godwitrack_lab/stage.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/stage.py
@@ -420,7 +420,10 @@
         server.active -= 1
         server.admission.release(ticket, is_failure)
         if server.is_silent:
-            moment = self.clock.now + SILENCE_SECONDS
+            silence = SILENCE_SECONDS
+            if job.flow.idempotent:
+                silence = view.find_silence(silence)
+            moment = max(self.clock.now, sent + silence)
             self.at(moment, self._lose, job, view, sent)
             return
         self._send_back(server, job, self._take_answer, view, server, sent, is_failure)
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -140,7 +140,7 @@
             try:
                 return link.receive(min(wait, left))
             except LinkTimeout:
-                outcome = self._query(call, min(left, QUERY_TIMEOUT_SECONDS))
+                outcome = self._query(call, min(left, self._find_query_timeout(call)))
             if outcome is not None and self._is_final(outcome, wait > self._silence):
                 return self._conclude(outcome)
             if outcome is None and call.idempotent:
@@ -164,6 +164,12 @@
             self._clock.sleep(pause)
             pause = min(pause * 2, MAX_PAUSE_SECONDS)
 
+    def _find_query_timeout(self, call):
+        """Return the seconds allowed to ask what became of a call."""
+        if call.idempotent:
+            return min(self._silence, QUERY_TIMEOUT_SECONDS)
+        return QUERY_TIMEOUT_SECONDS
+
     def _query(self, call, timeout):
         """Return the Outcome over a new link, or None where none is to be had."""
         if timeout <= 0:
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -188,7 +188,7 @@
         started = self._clock.read_monotonic()
         view.record_sent(started)
         try:
-            load = self._find_attempt(view).run(call, source, sink)
+            load = self._find_attempt(view, call).run(call, source, sink)
         except RequestError as error:
             now = self._clock.read_monotonic()
             if error.answer.not_run and error.kind is not ErrorKind.BACKEND_UNREACHABLE:
@@ -211,14 +211,17 @@
         if load is not None:
             self._take_load(view, load)
 
-    def _find_attempt(self, view):
+    def _find_attempt(self, view, call):
         if view.record.name == self._identity.name:
             return LocalAttempt(self._guard)
+        silence = self._silence
+        if call.idempotent:
+            silence = view.find_silence(silence)
         return RemoteAttempt(
             self._clock,
             self._pool,
             view.record.address,
-            self._silence,
+            silence,
             lambda load: self._take_load(view, load),
             self._pacer if self._is_regional(view.record) else None,
         )
--- a/packages/godwitrack_node/src/godwitrack_node/serverview.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverview.py
@@ -10,6 +10,9 @@
 LATENCY_DECAY_SECONDS = 2.0
 INITIAL_LATENCY_SECONDS = 0.005
 MIN_LATENCY_SECONDS = 0.0005
+MIN_SILENCE_SECONDS = 0.15  # More than a request waits in a guard's queue.
+SILENCE_FACTOR = 8.0
+ANSWER_WEIGHT = 0.1
 FAILURE_FACTOR = 10.0
 FAILURES_TO_AVOID = 3
 AVOID_SECONDS = 0.5
@@ -26,6 +29,7 @@
         load_at: Monotonic time of that report, in seconds.
         latency: Moving average of the answers' latency, in seconds.
         latency_at: Monotonic time of the last answer, in seconds.
+        answer_seconds: Moving average of the latency of good answers alone.
         failures: Failures in a row.
         avoid_until: Monotonic time until which it gets no requests.
         sent_at: Monotonic times at which the requests in flight were sent.
@@ -33,6 +37,7 @@
 
     __slots__ = (
         "_lock",
+        "answer_seconds",
         "avoid_until",
         "failures",
         "in_flight",
@@ -53,6 +58,7 @@
         self.own_at_report = 0
         self.latency = INITIAL_LATENCY_SECONDS
         self.latency_at = 0.0
+        self.answer_seconds = INITIAL_LATENCY_SECONDS
         self.failures = 0
         self.avoid_until = 0.0
         self.sent_at = collections.deque()
@@ -94,6 +100,15 @@
                 latency = max(latency, now - self.sent_at[waiting // 2])
         return latency + MIN_LATENCY_SECONDS
 
+    def find_silence(self, limit):
+        """Return the seconds without an answer after which a read is tried elsewhere.
+
+        Args:
+            limit: Most seconds to return.
+        """
+        usual = SILENCE_FACTOR * self.answer_seconds
+        return min(max(usual, MIN_SILENCE_SECONDS), limit)
+
     def record_sent(self, now):
         """Count a request that was sent."""
         with self._lock:
@@ -111,6 +126,7 @@
         self._forget(now - seconds)
         self.failures = 0
         self._learn(seconds, now)
+        self.answer_seconds += ANSWER_WEIGHT * (seconds - self.answer_seconds)
 
     def record_refusal(self, sent_at):
         """Count a refusal that did not run, of a request sent at a time."""
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cluster import IN_FORCE_SECONDS, Cluster, call, fetch_json
-from godwitrack.exceptions import RequestError
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.messages import Call
 from godwitrack.store import HttpClient
 from godwitrack_node.directory import ServerState
 
@@ -230,3 +231,42 @@
     address = str(cluster.members[0].settings.get("listen.operators"))
     status, _ = HttpClient(5.0).fetch("POST", f"http://{address}/orders", b"{}")
     assert status == 401
+
+
+@pytest.mark.parametrize(
+    ("customer", "regions"),
+    [
+        ("brand-cedra", ["sve-norr", "sve-syd"]),
+        ("brand-ask", ["sve-norr"]),
+    ],
+)
+def test_a_guard_outside_the_home_regions_runs_nothing(cluster, customer, regions):
+    """The sender's configuration may be older, or its outer request narrower."""
+    member = cluster.members[0]
+    assert member.place.region == "sve-syd"
+    guard = member.find("guard")
+    request = Call(
+        f"late-{customer}",
+        member.node.identity.incarnation,
+        0,
+        customer,
+        "interactive",
+        "scenbok",
+        "GET",
+        "/scenes/9",
+        [["x-operation", f"late-{customer}"]],
+        True,
+        regions,
+        1000.0,
+        1,
+        0,
+        False,
+        0,
+        b"",
+        False,
+    )
+    with pytest.raises(RequestError) as caught:
+        guard.run(request, None, None)
+    assert caught.value.kind is ErrorKind.WRONG_REGION
+    assert caught.value.answer.not_run
+    assert cluster.count_runs()[f"late-{customer}"] == 0
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cluster import IN_FORCE_SECONDS, Cluster
+from cluster import IN_FORCE_SECONDS, Cluster, call
 from godwitrack.exceptions import StoreError
 from godwitrack_lab.load import Load, find_broken_promises
 from godwitrack_node.orders import Order
@@ -148,6 +148,29 @@
     assert watch.reversions == []
 
 
+def test_connections_that_fall_silent_lose_and_double_nothing(cluster):
+    """Links that were used before give no sign of life; new ones work."""
+    south, _ = list_regions(cluster)
+    entry = south[0]
+    order = Order("data-centre", "malmo-b", True, "test", "")
+    entry.find("orders").carry_out(order)
+    order = Order("server", "styrning-3", True, "test", "")
+    result = entry.find("orders").carry_out(order)
+    cluster.wait(
+        lambda: all(item.revision >= result.revision for item in cluster.members),
+        "only the other region has a server of this service",
+        IN_FORCE_SECONDS,
+    )
+    path = "/styrning/scenes/7/apply"
+    assert call(entry.callers, "POST", path, operation="before")[0] == 200
+    cluster.network.lose_connections()
+    for number in range(3):
+        operation = f"silent-{number}"
+        status, _, _ = call(entry.callers, "POST", path, operation=operation)
+        assert status == 200
+        assert cluster.count_runs()[operation] == 1
+
+
 def test_a_wave_of_restarts_breaks_no_promise(cluster):
     """A quarter of all nodes die at once, with no notice, and are replaced."""
     victims = [cluster.members[1], cluster.members[6]]
