Try reads again elsewhere after 502, 503 and 504; split two large modules

Cause: a plan says which requests may be retried, but an answer 502, 503 or 504 from a backend server went straight to the caller. membership.py (465 lines) and the stage (491) did more than one job; the operators had no live view.

Change: such an answer to a read is held back while another server is tried, within the plan's retries and the retry budget; if none does better, the caller gets it as it was. The heartbeats of one peer are a module of their own, as are the parts of the stage; evicted and started tickets are told in one loop; the replay prints rows in one place.

--- a/packages/godwitrack/src/godwitrack/exceptions.py
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -25,6 +25,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_LOST = "answer_lost"
+    BACKEND_FAILED = "backend_failed"
     TIMEOUT = "timeout"
     INTERNAL = "internal"
 
@@ -108,6 +109,9 @@
     ErrorKind.ANSWER_LOST: ErrorAnswer(
         502, False, False, False, "The request was sent; its answer was lost."
     ),
+    ErrorKind.BACKEND_FAILED: ErrorAnswer(
+        502, False, False, False, "The backend server answered that it failed."
+    ),
     ErrorKind.TIMEOUT: ErrorAnswer(
         504, False, False, False, "The deadline passed while the request ran."
     ),
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
@@ -24,6 +24,7 @@
     "wait": ("bool", False, "Wait until it is in force at every node."),
     "author": ("string", None, "Name recorded with the change."),
     "name": ("string", None, "Name of the data centre or backend server."),
+    "watch": ("positive", None, "Show it again after this many seconds, for ever."),
     "reason": ("string", "", "Reason, for other operators."),
     "customer": ("string", None, "Name of the customer."),
     "service": ("string", None, "Name of the service."),
@@ -65,7 +66,7 @@
     "server list": Command("list_servers"),
     "server take-out": Command("take_out_server", _ORDER, ("name",)),
     "server bring-back": Command("bring_back_server", _ORDER, ("name",)),
-    "status": Command("show_status"),
+    "status": Command("show_status", ("watch",)),
     "explain": Command(
         "explain",
         ("customer", "service", "method", "path"),
@@ -132,6 +133,7 @@
         "string": flags.DEFINE_string,
         "bool": flags.DEFINE_bool,
         "integer": flags.DEFINE_integer,
+        "positive": _define_positive,
     }
     for flag in (*COMMON, *command.flags):
         kind, default, text = FLAGS[flag]
@@ -147,6 +149,10 @@
     return values
 
 
+def _define_positive(name, default, text, flag_values):
+    flags.DEFINE_integer(name, default, text, lower_bound=1, flag_values=flag_values)
+
+
 def _make_client(values):
     token = os.environ.get(TOKEN_VARIABLE, "")
     if values.token_file:
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
@@ -26,12 +26,14 @@
         values: Parsed flags.
         client: NodeClient, or None for commands that need no node.
         write: Function that prints one text.
+        sleep: Function that waits a number of seconds.
     """
 
-    def __init__(self, values, client, write=print):
+    def __init__(self, values, client, write=print, sleep=time.sleep):
         self.values = values
         self.client = client
         self.write = write
+        self.sleep = sleep
 
     def show_plans(self):
         """Show the two lists in force, with their revision."""
@@ -132,7 +134,23 @@
         return self._order("server", False)
 
     def show_status(self):
-        """Show the fleet at a glance."""
+        """Show the fleet at a glance, once or again and again."""
+        if self.values.watch is None:
+            return self._show_status()
+        while True:
+            self.write(time.strftime("%H:%M:%S"))
+            try:
+                self._show_status()
+            except StoreError as error:
+                # The node may be restarting; the watch goes on.
+                self.write(f"no answer: {error}")
+            self.write("")
+            try:
+                self.sleep(self.values.watch)
+            except KeyboardInterrupt:
+                return EXIT_DONE
+
+    def _show_status(self):
         data = self.client.get("/status")
         if self.values.json:
             return self._write_json(data)
--- a/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
@@ -28,6 +28,7 @@
         seconds: Service time of a request.
         factor: Factor on the service time.
         failing: Whether it answers 500 at once.
+        status: HTTP status of its answers otherwise.
         silent: Whether it reads requests and never answers.
         cold: Whether it is in a cold start.
         cold_slots: Most requests at once that it bears while cold.
@@ -43,12 +44,14 @@
         "failing",
         "seconds",
         "silent",
+        "status",
     )
 
     def __init__(self, seconds=0.002, cold=False, cold_slots=1):
         self.seconds = seconds
         self.factor = 1.0
         self.failing = False
+        self.status = 200
         self.silent = False
         self.cold = cold
         self.cold_slots = cold_slots
@@ -129,7 +132,7 @@
                 self._active -= 1
         if self.behaviour.silent:
             time.sleep(3600)
-        status = 500 if self.behaviour.failing else 200
+        status = 500 if self.behaviour.failing else self.behaviour.status
         body = self._make_body(request, operation, digest.hexdigest(), size)
         headers = [("Content-Type", "application/json"), ("X-Server", self.name)]
         connection.start_answer(status, headers, len(body), body)
--- a/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/benchparts.py
@@ -9,7 +9,7 @@
 from godwitrack.configuration import Change, Configuration
 from godwitrack.kernel import Kernel
 from godwitrack.messages import Call, Ping, Records, decode_message
-from godwitrack_lab.stage import StageExclusions
+from godwitrack_lab.stageparts import StageExclusions
 from godwitrack_node.directory import (
     BUCKETS,
     Directory,
--- a/packages/godwitrack_lab/src/godwitrack_lab/replay.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/replay.py
@@ -11,7 +11,8 @@
 from godwitrack.exceptions import SettingsError
 from godwitrack.plans import read_lists
 from godwitrack_lab.deployment import Deployment
-from godwitrack_lab.stage import Flow, Stage
+from godwitrack_lab.stage import Stage
+from godwitrack_lab.stageparts import Flow
 from godwitrack_node.policies import POLICIES
 
 SEED = 5
@@ -19,6 +20,8 @@
 FAULT_START = 1.0
 FAULT_SECONDS = 2.0
 NOISE_FACTOR = 10
+TITLE_WIDTH = 46  # Characters.
+CELL_WIDTH = 24  # Characters.
 FIELDS = ("at", "customer", "request_class", "service", "method", "path")
 
 
@@ -157,22 +160,24 @@
     """Print all policies side by side for one fault."""
     print(f"\nfault: {fault}")
     stages = {policy: replay.play(policy, fault) for policy in POLICIES}
-    print(f"{'p99 / p99.9 in ms, share of good answers':46} {'':4}".rstrip())
-    print(
-        f"{'customer, class, service':46}" + "".join(f"{name:>24}" for name in stages)
-    )
+    print("p99 / p99.9 in ms, share of good answers")
+    _print_row("customer, class, service", stages)
     for index, flow in enumerate(next(iter(stages.values())).flows):
         name = f"{flow.customer}, {flow.request_class.value}, {flow.service}"
-        cells = "".join(_format(stage.flows[index]) for stage in stages.values())
-        print(f"{name:46}{cells}")
-    cells = "".join(f"{_count_measuring(stage):>24}" for stage in stages.values())
-    print(f"{'measuring, bytes in region / across':46}{cells}")
+        _print_row(name, [_format(stage.flows[index]) for stage in stages.values()])
+    counts = [_count_measuring(stage) for stage in stages.values()]
+    _print_row("measuring, bytes in region / across", counts)
+
+
+def _print_row(title, cells):
+    text = "".join(f"{cell:>{CELL_WIDTH}}" for cell in cells)
+    print(f"{title:{TITLE_WIDTH}}{text}")
 
 
 def _format(flow):
     share = flow.good / max(flow.sent, 1)
     text = f"{flow.find_percentile(99):.1f} / {flow.find_percentile(99.9):.1f}"
-    return f"{text} {share:6.3f}".rjust(24)
+    return f"{text} {share:6.3f}"
 
 
 def _count_measuring(stage):
--- a/packages/godwitrack_lab/src/godwitrack_lab/scenario.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/scenario.py
@@ -3,7 +3,8 @@
 from godwitrack.exceptions import SettingsError
 from godwitrack.settings import read_yaml
 from godwitrack_lab.deployment import Deployment
-from godwitrack_lab.stage import PRODUCT_POLICY, Flow, Stage
+from godwitrack_lab.stage import PRODUCT_POLICY, Stage
+from godwitrack_lab.stageparts import Flow
 
 KEYS = frozenset(
     (
--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -261,11 +261,9 @@
             evicted: Tickets that are refused.
             present: Ticket whose owner is in `offer` and needs no telling.
         """
-        for item in started:
-            if item is not present:
-                item.decide()
         for item in evicted:
             item.refusal = RequestError(ErrorKind.SERVER_BUSY)
+        for item in (*started, *evicted):
             if item is not present:
                 item.decide()
 
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -102,8 +102,10 @@
             is_complete = True
             return load
         except RequestError as error:
-            is_complete = error.kind is not ErrorKind.OUTCOME_UNKNOWN and (
-                not sink.is_started and isinstance(error, _RefusedByNode)
+            is_complete = error.kind is ErrorKind.BACKEND_FAILED or (
+                error.kind is not ErrorKind.OUTCOME_UNKNOWN
+                and not sink.is_started
+                and isinstance(error, _RefusedByNode)
             )
             raise
         finally:
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -149,7 +149,12 @@
         source = CallerSource(connection, self._max_body)
         body, more = _read_first_part(source, request)
         source.is_touched = False
-        sink = CallerSink(connection, request, (REQUEST_ID_HEADER, errand.request_id))
+        sink = CallerSink(
+            connection,
+            request,
+            (REQUEST_ID_HEADER, errand.request_id),
+            errand.retry_rule.may_repeat,
+        )
         self._make_attempts(errand, request, source, sink, body, more)
         errand.status = sink.status
 
@@ -169,6 +174,8 @@
                 if not error.answer.not_run:
                     uncertain = uncertain or error
                 if not self._may_retry(errand, error, source, sink):
+                    if not sink.is_started and sink.release_held():
+                        break
                     # Once an attempt may have run, no later refusal says "not run".
                     raise uncertain or self._pick(refusal, error) from None
                 refusal = error
--- a/packages/godwitrack_node/src/godwitrack_node/exchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/exchange.py
@@ -79,9 +79,24 @@
 
 
 class CallerSink(AnswerSink):
-    """Writes an answer to a caller over HTTP and checks that it is whole."""
+    """Writes an answer to a caller over HTTP and checks that it is whole.
 
-    def __init__(self, connection, request, request_id_header):
+    A whole answer that a further attempt may replace is held back, and given to
+    the caller if no better one comes.
+    """
+
+    def __init__(self, connection, request, request_id_header, may_repeat):
+        """Prepare for one caller's answer.
+
+        Args:
+            connection: HttpConnection.
+            request: HttpRequest.
+            request_id_header: Pair of name and value.
+            may_repeat: Function of a status that tells whether a further attempt
+                may replace the answer.
+        """
+        self._may_repeat = may_repeat
+        self._held = None
         self._connection = connection
         self._request = request
         self._request_id_header = request_id_header
@@ -90,7 +105,24 @@
         self.status = 0
 
     def start(self, status, headers, length, body, more):
-        """Send the head and the first part."""
+        """Send the head and the first part, or hold the whole back.
+
+        Raises:
+            RequestError: BACKEND_FAILED; the answer is held back.
+        """
+        if not more and self._may_repeat(status):
+            self._held = (status, headers, length, body)
+            raise RequestError(ErrorKind.BACKEND_FAILED)
+        self._send_first(status, headers, length, body, more)
+
+    def release_held(self):
+        """Send the answer that was held back; returns whether there was one."""
+        if self._held is None:
+            return False
+        self._send_first(*self._held, False)
+        return True
+
+    def _send_first(self, status, headers, length, body, more):
         self.is_started = True
         self.status = status
         headers = [*headers, self._request_id_header]
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/heartbeats.py
@@ -0,0 +1,109 @@
+"""Heartbeats with one peer, which carry news and repair what news missed."""
+
+from godwitrack.exceptions import GodwitrackError, LinkError, MessageError
+from godwitrack.logs import find_logger
+from godwitrack.messages import DigestRequest, Ping, Pong, Records
+
+REPAIR_ROUNDS = 3
+
+
+class PeerTask:
+    """The exchange of heartbeats with one peer, in a thread of its own."""
+
+    def __init__(self, membership, peer):
+        self._membership = membership
+        self._peer = peer
+        self._directory = membership.directory
+        self._configurations = membership.configurations
+        self._log = find_logger("membership")
+        self._link = None
+        self._position = membership.find_log_end()
+        self._differing_rounds = REPAIR_ROUNDS
+        self._counted = (0, 0)
+
+    def beat(self):
+        """Send one heartbeat and take what comes back."""
+        peer = self._peer
+        started = self._membership.clock.read_monotonic()
+        try:
+            self._exchange()
+        except (LinkError, MessageError, GodwitrackError) as error:
+            self.close()
+            peer.misses += 1
+            if peer.misses == self._membership.silent_after:
+                self._log.info("peer does not answer", peer=peer.name, error=str(error))
+            if peer.misses >= self._membership.silent_after:
+                self._membership.suspect(peer)
+            return
+        peer.misses = 0
+        self._configurations.note_peer_answer()
+        self._membership.lease.renew(started)
+
+    def close(self):
+        """Close the link."""
+        if self._link is not None:
+            self._count()
+            self._link.abort()
+            self._link = None
+
+    def _exchange(self):
+        membership = self._membership
+        timeout = membership.interval
+        if self._link is None:
+            self._link = membership.pool.open(self._peer.address, timeout)
+            self._counted = (0, 0)
+        position, records = membership.read_news(
+            self._position, self._peer.name, self._peer.is_regional
+        )
+        self._link.send(membership.make_ping(Ping, records), timeout)
+        pong = self._link.receive(timeout)
+        if type(pong) is not Pong:
+            raise MessageError("expected a Pong")
+        self._position = position
+        membership.merge_records(pong.records, pong.sender)
+        self._align_configuration(pong)
+        self._align_directory(pong)
+        self._count()
+
+    def _align_configuration(self, pong):
+        own = self._configurations.current.revision
+        if pong.revision > own:
+            self._configurations.pull(self._link)
+        elif pong.revision < own:
+            self._link.send(self._configurations.list_changes(pong.revision), 5.0)
+            self._link.receive(5.0)
+
+    def _align_directory(self, pong):
+        """Compare the directories, and repair them where news were not enough."""
+        if pong.digest == self._directory.compute_digest():
+            self._differing_rounds = 0
+            return
+        self._differing_rounds += 1
+        if self._differing_rounds <= REPAIR_ROUNDS:
+            return
+        self._differing_rounds = 0
+        self._link.send(DigestRequest(self._directory.list_digests()), 5.0)
+        answer = self._link.receive(5.0)
+        if type(answer) is not Records:
+            raise MessageError("expected Records")
+        records = answer.unpack()
+        self._membership.merge_records(records, pong.sender)
+        theirs = {item[0]: tuple(item[7:]) for item in records}
+        missing = []
+        for bucket in answer.buckets:
+            for record in self._directory.list_bucket(int(bucket)):
+                newest = (record.incarnation, record.version)
+                if theirs.get(record.name) != newest:
+                    missing.append(record.to_data())
+        if missing:
+            self._link.send(Records.pack([], missing), 5.0)
+            self._link.receive(5.0)
+
+    def _count(self):
+        sent, received = self._link.sent_bytes, self._link.received_bytes
+        self._membership.budget.count(
+            self._peer.is_regional,
+            sent - self._counted[0],
+            received - self._counted[1],
+        )
+        self._counted = (sent, received)
--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from godwitrack.exceptions import GodwitrackError, LinkError, MessageError
+from godwitrack.exceptions import LinkError, MessageError
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
 from godwitrack.messages import (
@@ -16,12 +16,12 @@
     Records,
 )
 from godwitrack_node.directory import BUCKETS, ServerRecord, ServerState
+from godwitrack_node.heartbeats import PeerTask
 from godwitrack_node.peers import BRIDGES, Peer, choose_peers
 
 MAX_NEWS = 64
 RECORD_BYTES = 130
 PACKED_RECORD_BYTES = 30
-REPAIR_ROUNDS = 3
 PLAN_SECONDS = 2.0
 PLAN_SECONDS_FOR_NODE = 0.001
 MIN_PING_GAP_SECONDS = 0.05
@@ -42,14 +42,14 @@
     name = "membership"
 
     def __init__(self, clock, executor, identity, settings, lease, budget):
-        self._clock = clock
+        self.clock = clock
         self._executor = executor
         self._identity = identity
-        self._lease = lease
+        self.lease = lease
         self.budget = budget
         self._seeds = [str(address) for address in settings.get("peers.seeds")]
-        self._interval = settings.get_seconds("peers.ping_interval_ms")
-        self._silent_after = settings.get("peers.silent_after")
+        self.interval = settings.get_seconds("peers.ping_interval_ms")
+        self.silent_after = settings.get("peers.silent_after")
         self._lock = threading.Lock()
         self._peers = {}
         self._planned_version = None
@@ -57,27 +57,27 @@
         self._is_stopped = False
         self._own_record = None
         self._own_address = ""
-        self._directory = None
-        self._configurations = None
-        self._pool = None
+        self.directory = None
+        self.configurations = None
+        self.pool = None
         self._rendezvous = None
         self._log = find_logger("membership")
         self.is_superseded = False
 
     def connect(self, kernel):
         """Find the collaborators and listen to what changes."""
-        self._directory = kernel.find("directory")
-        self._configurations = kernel.find("configurations")
-        self._pool = kernel.find("link-pool")
+        self.directory = kernel.find("directory")
+        self.configurations = kernel.find("configurations")
+        self.pool = kernel.find("link-pool")
         self._rendezvous = kernel.find("rendezvous")
         self._own_address = kernel.find("link-server").advertised
-        self._directory.add_listener(self._notice_own_record)
-        self._directory.add_listener(self._notice_operators)
-        self._configurations.add_listener(lambda _: self.wake_peers())
+        self.directory.add_listener(self._notice_own_record)
+        self.directory.add_listener(self._notice_operators)
+        self.configurations.add_listener(lambda _: self.wake_peers())
         scheduler = kernel.find("scheduler")
         scheduler.add(0.2, self._beat)
         scheduler.add(0.5, self.plan_peers)
-        scheduler.add(10.0, self._directory.expire)
+        scheduler.add(10.0, self.directory.expire)
 
     def start(self):
         """Begin to send heartbeats."""
@@ -104,7 +104,7 @@
 
     def count_nodes(self):
         """Return the number of nodes known, this one included."""
-        return max(self._directory.count_servers(), 1)
+        return max(self.directory.count_servers(), 1)
 
     def publish(self, state, slots):
         """Tell all nodes the state of the own backend server.
@@ -120,7 +120,7 @@
             version = 1 if held is None else held.version + 1
             record = self._make_record(state, slots, version)
             self._own_record = record
-        self._directory.merge(record)
+        self.directory.merge(record)
         self.wake_peers()
 
     def wake_peers(self):
@@ -144,12 +144,12 @@
         if kind is DigestRequest:
             return self._answer_digests(message, session)
         if kind is Records:
-            self._merge_all(message.unpack(), session.sender)
+            self.merge_records(message.unpack(), session.sender)
             return self.make_ping(Pong, [])
         if kind is ChangesRequest:
-            return self._configurations.list_changes(message.after)
+            return self.configurations.list_changes(message.after)
         if kind is Changes:
-            self._configurations.take_changes(message)
+            self.configurations.take_changes(message)
             return self.make_ping(Pong, [])
         if kind is Probe:
             return ProbeResult(self._probe(message.address))
@@ -157,8 +157,8 @@
 
     def plan_peers(self):
         """Choose the peers anew if the directory changed."""
-        now = self._clock.read_monotonic()
-        version = self._directory.version
+        now = self.clock.read_monotonic()
+        version = self.directory.version
         # The work grows with the fleet, so that it is done less often in a large one.
         interval = max(PLAN_SECONDS, self.count_nodes() * PLAN_SECONDS_FOR_NODE)
         if self._peers and (
@@ -167,7 +167,7 @@
             return
         self._planned_version = version
         self._planned_at = now
-        records = self._directory.list_servers()
+        records = self.directory.list_servers()
         chosen = choose_peers(records, self._identity)
         self._set_regional_rate(records)
         wanted = {
@@ -205,7 +205,7 @@
         for peer in started:
             self._executor.submit(self._run_peer, peer)
         if not wanted:
-            self._configurations.note_no_peers()
+            self.configurations.note_no_peers()
 
     def _set_regional_rate(self, records):
         bridges = BRIDGES * len({record.data_centre for record in records})
@@ -213,56 +213,56 @@
         self.budget.set_regional_rate(rate / max(bridges, 1))
 
     def _run_peer(self, peer):
-        task = _PeerTask(self, peer)
+        task = PeerTask(self, peer)
         while not peer.is_stopped:
             task.beat()
-            peer.wake.wait(self._interval)
+            peer.wake.wait(self.interval)
             if peer.wake.is_set():
                 peer.wake.clear()
-                self._clock.sleep(MIN_PING_GAP_SECONDS)
+                self.clock.sleep(MIN_PING_GAP_SECONDS)
         task.close()
 
     def _beat(self):
-        self._lease.beat()
-        if self._lease.is_lapsed:
+        self.lease.beat()
+        if self.lease.is_lapsed:
             self.wake_peers()
             if not self._peers:
-                self._lease.renew(self._clock.read_monotonic())
+                self.lease.renew(self.clock.read_monotonic())
 
     def make_ping(self, kind, records):
         """Return a Ping or Pong with the given ServerRecords as news."""
         return kind(
             self._identity.name,
             self._identity.incarnation,
-            self._directory.compute_digest(),
-            self._configurations.current.revision,
+            self.directory.compute_digest(),
+            self.configurations.current.revision,
             [record.to_data() for record in records],
         )
 
-    def _read_news(self, position, reader, is_regional):
+    def read_news(self, position, reader, is_regional):
         """Return the new position and the news that the budget allows."""
         allowance = self.budget.find_allowance(is_regional) // RECORD_BYTES
         limit = min(allowance, MAX_NEWS)
         if limit <= 0:
             return position, []
-        return self._directory.read_log(position, limit, reader)
+        return self.directory.read_log(position, limit, reader)
 
     def _answer_ping(self, message, session):
         session.sender = message.sender
-        sender = self._directory.find(message.sender)
+        sender = self.directory.find(message.sender)
         session.is_regional = (
             sender is not None and sender.region != self._identity.region
         )
-        self._merge_all(message.records, message.sender)
+        self.merge_records(message.records, message.sender)
         if session.position is None:
-            session.position = self._find_log_end()
-        session.position, records = self._read_news(
+            session.position = self.find_log_end()
+        session.position, records = self.read_news(
             session.position, message.sender, session.is_regional
         )
         return self.make_ping(Pong, records)
 
     def _answer_digests(self, message, session):
-        own = self._directory.list_digests()
+        own = self.directory.list_digests()
         if len(message.digests) != BUCKETS:
             raise MessageError(f"expected {BUCKETS} digests")
         allowance = self.budget.find_allowance(session.is_regional)
@@ -273,19 +273,25 @@
             if buckets and len(records) * PACKED_RECORD_BYTES > allowance:
                 break
             buckets.append(bucket)
-            records.extend(self._directory.list_bucket(bucket))
+            records.extend(self.directory.list_bucket(bucket))
         return Records.pack(buckets, [record.to_data() for record in records])
 
-    def _merge_all(self, items, source):
+    def merge_records(self, items, source):
+        """Take over records that another node sent as plain data.
+
+        Raises:
+            MessageError: One of them has a wrong shape.
+        """
         for item in items:
             try:
                 record = ServerRecord.from_data(item)
             except ValueError as error:
                 raise MessageError(f"record of a wrong shape: {error}") from None
-            self._directory.merge(record, source)
+            self.directory.merge(record, source)
 
-    def _find_log_end(self):
-        return self._directory.read_log(2**62, 0, "")[0]
+    def find_log_end(self):
+        """Return the position after the newest entry of the directory's log."""
+        return self.directory.read_log(2**62, 0, "")[0]
 
     def _make_record(self, state, slots, version):
         return ServerRecord(
@@ -321,11 +327,11 @@
             return
         with self._lock:
             self._own_record = own.replace(version=record.version + 1)
-        self._directory.merge(self._own_record)
+        self.directory.merge(self._own_record)
 
-    def _suspect(self, peer):
+    def suspect(self, peer):
         """Mark a peer as silent if others can't reach it either."""
-        record = self._directory.find(peer.name)
+        record = self.directory.find(peer.name)
         if record is None or peer.is_regional or not record.state.is_serving:
             return
         others = [item for item in self.peers if item is not peer]
@@ -335,133 +341,30 @@
             return
         if any(self._ask_probe(item, peer) for item in heard[:PROBE_HELPERS]):
             return
-        newest = self._directory.find(peer.name)
-        if newest is record and peer.misses >= self._silent_after:
+        newest = self.directory.find(peer.name)
+        if newest is record and peer.misses >= self.silent_after:
             self._log.warning("peer is silent", peer=peer.name)
             silent = record.replace(
                 state=ServerState.SILENT, version=record.version + 1
             )
-            self._directory.merge(silent)
+            self.directory.merge(silent)
 
     def _ask_probe(self, helper, peer):
         try:
-            link = self._pool.acquire(helper.address, self._interval)
-            link.send(Probe(peer.address), self._interval)
-            result = link.receive(3 * self._interval)
+            link = self.pool.acquire(helper.address, self.interval)
+            link.send(Probe(peer.address), self.interval)
+            result = link.receive(3 * self.interval)
         except (LinkError, MessageError):
             return False
-        self._pool.release(link)
+        self.pool.release(link)
         return type(result) is ProbeResult and result.alive
 
     def _probe(self, address):
         try:
-            link = self._pool.open(address, self._interval)
-            link.send(self.make_ping(Ping, []), self._interval)
-            link.receive(self._interval)
+            link = self.pool.open(address, self.interval)
+            link.send(self.make_ping(Ping, []), self.interval)
+            link.receive(self.interval)
         except (LinkError, MessageError):
             return False
-        self._pool.release(link)
+        self.pool.release(link)
         return True
-
-
-class _PeerTask:
-    """The exchange of heartbeats with one peer, in a thread of its own."""
-
-    def __init__(self, membership, peer):
-        self._membership = membership
-        self._peer = peer
-        self._directory = membership._directory
-        self._configurations = membership._configurations
-        self._link = None
-        self._position = membership._find_log_end()
-        self._differing_rounds = REPAIR_ROUNDS
-        self._counted = (0, 0)
-
-    def beat(self):
-        """Send one heartbeat and take what comes back."""
-        peer = self._peer
-        started = self._membership._clock.read_monotonic()
-        try:
-            self._exchange()
-        except (LinkError, MessageError, GodwitrackError) as error:
-            self.close()
-            peer.misses += 1
-            if peer.misses == self._membership._silent_after:
-                self._membership._log.info(
-                    "peer does not answer", peer=peer.name, error=str(error)
-                )
-            if peer.misses >= self._membership._silent_after:
-                self._membership._suspect(peer)
-            return
-        peer.misses = 0
-        self._configurations.note_peer_answer()
-        self._membership._lease.renew(started)
-
-    def close(self):
-        """Close the link."""
-        if self._link is not None:
-            self._count()
-            self._link.abort()
-            self._link = None
-
-    def _exchange(self):
-        membership = self._membership
-        timeout = membership._interval
-        if self._link is None:
-            self._link = membership._pool.open(self._peer.address, timeout)
-            self._counted = (0, 0)
-        position, records = membership._read_news(
-            self._position, self._peer.name, self._peer.is_regional
-        )
-        self._link.send(membership.make_ping(Ping, records), timeout)
-        pong = self._link.receive(timeout)
-        if type(pong) is not Pong:
-            raise MessageError("expected a Pong")
-        self._position = position
-        membership._merge_all(pong.records, pong.sender)
-        self._align_configuration(pong)
-        self._align_directory(pong)
-        self._count()
-
-    def _align_configuration(self, pong):
-        own = self._configurations.current.revision
-        if pong.revision > own:
-            self._configurations.pull(self._link)
-        elif pong.revision < own:
-            self._link.send(self._configurations.list_changes(pong.revision), 5.0)
-            self._link.receive(5.0)
-
-    def _align_directory(self, pong):
-        """Compare the directories, and repair them where news were not enough."""
-        if pong.digest == self._directory.compute_digest():
-            self._differing_rounds = 0
-            return
-        self._differing_rounds += 1
-        if self._differing_rounds <= REPAIR_ROUNDS:
-            return
-        self._differing_rounds = 0
-        self._link.send(DigestRequest(self._directory.list_digests()), 5.0)
-        answer = self._link.receive(5.0)
-        if type(answer) is not Records:
-            raise MessageError("expected Records")
-        records = answer.unpack()
-        self._membership._merge_all(records, pong.sender)
-        theirs = {item[0]: tuple(item[7:]) for item in records}
-        missing = []
-        for bucket in answer.buckets:
-            for record in self._directory.list_bucket(int(bucket)):
-                newest = (record.incarnation, record.version)
-                if theirs.get(record.name) != newest:
-                    missing.append(record.to_data())
-        if missing:
-            self._link.send(Records.pack([], missing), 5.0)
-            self._link.receive(5.0)
-
-    def _count(self):
-        sent, received = self._link.sent_bytes, self._link.received_bytes
-        self._membership.budget.count(
-            self._peer.is_regional,
-            sent - self._counted[0],
-            received - self._counted[1],
-        )
-        self._counted = (sent, received)
--- a/packages/godwitrack_node/src/godwitrack_node/retries.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retries.py
@@ -5,7 +5,10 @@
 from godwitrack.exceptions import ErrorKind
 
 MAX_ATTEMPTS = 4
-REPEATABLE_KINDS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST))
+REPEATABLE_KINDS = frozenset(
+    (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST, ErrorKind.BACKEND_FAILED)
+)
+REPEATABLE_STATUSES = frozenset((502, 503, 504))
 
 DEPOSIT = 0.2
 RESERVE = 10.0
@@ -59,6 +62,18 @@
         self.retries_left = retries_left
         self.attempts = 0
 
+    def may_repeat(self, status):
+        """Tell whether an answer with this status could make way for another one.
+
+        Args:
+            status: HTTP status that the backend server gave.
+        """
+        return (
+            self.idempotent
+            and self.retries_left > 0
+            and (status in REPEATABLE_STATUSES)
+        )
+
     def allows(self, error):
         """Tell whether a further attempt may follow, and count it if so.
 
--- a/packages/godwitrack_node/src/godwitrack_node/serverview.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverview.py
@@ -82,7 +82,7 @@
         others = 0.0
         if self.load is not None:
             reported = self.load.in_flight + self.load.queued - self.own_at_report
-            age = now - self.load_at
+            age = max(now - self.load_at, 0.0)
             others = max(reported, 0) * 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
         return (self.in_flight + others) / self.limit
 
@@ -92,7 +92,7 @@
         Requests without an answer tell before any answer does that a server has
         become slow: the latency is at least the age of the older half of them.
         """
-        trust = 0.5 ** ((now - self.latency_at) / LATENCY_DECAY_SECONDS)
+        trust = 0.5 ** (max(now - self.latency_at, 0.0) / LATENCY_DECAY_SECONDS)
         latency = self.latency * trust
         with self._lock:
             waiting = len(self.sent_at)
@@ -156,7 +156,7 @@
             self.sent_at.remove(nearest)
 
     def _learn(self, seconds, now):
-        age = now - self.latency_at
+        age = max(now - self.latency_at, 0.0)
         self.latency_at = now
         if seconds > self.latency:
             weight = 0.5
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from godwitrack.exceptions import StoreError
 from godwitrack_ctl.cmdline import COMMANDS, main
+from godwitrack_ctl.commands import Commands
 from godwitrack_node.cmdline import main as run_node
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / "examples" / "ljusgemenskapen"
@@ -31,6 +33,7 @@
         (["server", "take-out"], 2, "--name is missing"),
         (["status", "--node=127.0.0.1:1"], 1, "Could not connect"),
         (["status", "--token_file=none"], 2, "none: can't be read"),
+        (["status", "--watch=0"], 2, "watch"),
     ],
 )
 def test_wrong_use_is_told(arguments, status, text, capsys):
@@ -76,3 +79,39 @@
     assert run_node(["godwitrackd", *arguments]) == status
     output = capsys.readouterr()
     assert text in output.out + output.err
+
+
+class ScriptedClient:
+    """Answers with a status, or fails, in turn."""
+
+    def __init__(self, answers):
+        self._answers = list(answers)
+
+    def get(self, path, **query):
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Values:
+    json = True
+    watch = 2
+
+
+def test_a_watch_goes_on_when_the_node_is_away():
+    waits, texts = [], []
+
+    def sleep(seconds):
+        waits.append(seconds)
+        if len(waits) == 3:
+            raise KeyboardInterrupt
+
+    answers = [{"revision": 1}, StoreError("away"), {"revision": 2}]
+    client = ScriptedClient(answers)
+    commands = Commands(Values, client, texts.append, sleep)
+    assert commands.show_status() == 0
+    text = "\n".join(texts)
+    assert waits == [2, 2, 2]
+    assert text.index('"revision": 1') < text.index("no answer: away")
+    assert text.index("no answer: away") < text.index('"revision": 2')
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -270,3 +270,36 @@
     assert caught.value.kind is ErrorKind.WRONG_REGION
     assert caught.value.answer.not_run
     assert cluster.count_runs()[f"late-{customer}"] == 0
+
+
+@pytest.fixture
+def failing_servers(cluster):
+    yield cluster.members
+    for member in cluster.members:
+        member.backend.behaviour.status = 200
+
+
+@pytest.mark.parametrize("status", [502, 503, 504])
+def test_a_read_that_failed_is_tried_elsewhere(cluster, failing_servers, status):
+    entry, *others = failing_servers
+    entry.backend.behaviour.status = status
+    for number in range(5):
+        operation = f"elsewhere-{status}-{number}"
+        answer = call(entry.callers, "GET", "/scenbok/scenes/1", operation=operation)
+        assert answer[0] == 200
+        assert json.loads(answer[2])["operation"] == operation
+
+
+def test_a_read_that_fails_everywhere_gets_the_answer_of_a_server(
+    cluster, failing_servers
+):
+    for member in failing_servers:
+        member.backend.behaviour.status = 503
+    entry = failing_servers[0]
+    status, headers, body = call(
+        entry.callers, "GET", "/scenbok/scenes/1", operation="everywhere"
+    )
+    assert status == 503
+    assert "Godwitrack-Error" not in headers
+    assert json.loads(body)["operation"] == "everywhere"
+    assert 1 <= cluster.count_runs()["everywhere"] <= 3
