--- a/packages/godwitrack_node/src/godwitrack_node/membership.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membership.py
@@ -22,6 +22,9 @@
 MAX_NEWS = 64
 RECORD_BYTES = 130
 PACKED_RECORD_BYTES = 30
+BEAT_SECONDS = 0.2
+CHECK_PEERS_SECONDS = 0.5
+EXPIRE_SECONDS = 10.0
 PLAN_SECONDS = 2.0
 PLAN_SECONDS_FOR_NODE = 0.001
 MIN_PING_GAP_SECONDS = 0.05
@@ -75,9 +78,9 @@
         self.directory.add_listener(self._notice_operators)
         self.configurations.add_listener(lambda _: self.wake_peers())
         scheduler = kernel.find("scheduler")
-        scheduler.add(0.2, self._beat)
-        scheduler.add(0.5, self.plan_peers)
-        scheduler.add(10.0, self.directory.expire)
+        scheduler.add(BEAT_SECONDS, self._beat)
+        scheduler.add(CHECK_PEERS_SECONDS, self.plan_peers)
+        scheduler.add(EXPIRE_SECONDS, self.directory.expire)
 
     def start(self):
         """Begin to send heartbeats."""
--- a/packages/godwitrack_node/src/godwitrack_node/pacing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/pacing.py
@@ -153,9 +153,7 @@
                 return message
             has_next = more or not is_last
             left = deadline - self._clock.read_monotonic()
-            if left <= 0:
-                raise LinkTimeout("the body was not taken in time")
-            self._link.send(Chunk(piece, has_next), left)
+            self._link.send(Chunk(piece, has_next), max(left, 0.001))
             if has_next:
                 self._sent_at.append(self._clock.read_monotonic())
         return None
@@ -176,17 +174,16 @@
         due = now if self._pacer is None else self._pacer.reserve(count)
         while True:
             now = self._clock.read_monotonic()
+            if now >= deadline:
+                raise LinkTimeout("the body was not taken in time")
             is_full = len(self._sent_at) >= WINDOW_PARTS
-            if not is_full and now >= due and not self._link.has_input():
+            is_due = now >= due
+            if is_due and not is_full and not self._link.has_input():
                 return None
-            until = deadline if is_full else min(max(due, now), deadline)
-            if is_full and now >= deadline:
-                raise LinkTimeout("the body was not taken in time")
+            until = deadline if is_full else min(due, deadline)
             message = self._receive(until - now)
             if message is not None:
                 return message
-            if now >= deadline:
-                return None
 
     def _receive(self, timeout):
         try:
