Keep a latency baseline for each route, so that slow paths hold nobody up

Cause, found on reading the changes again: the guard compared a request with the baseline of its method and class. Two requests of a slow path (a commit that takes seconds beside an apply of milliseconds) looked like a server that had turned cold, and while they ran nothing else started there.

Change: the baseline goes by method, route of the plan and class.

--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -132,9 +132,9 @@
     def _run(self, call, source, sink):
         now = self._clock.read_monotonic()
         deadline = now + call.deadline_ms / 1000.0
-        plan, regions = self._check(call)
+        plan, route = self._check(call)
         rank = RequestClass(call.request_class).rank
-        kind = None if call.more else (call.method, call.request_class)
+        kind = None if call.more else (call.method, route.path, call.request_class)
         weight = plan.requests_per_second
         ticket = Ticket(
             call.customer,
@@ -143,7 +143,7 @@
             deadline,
             kind,
             depth=call.depth,
-            rate=weight / self._count_servers(regions),
+            rate=weight / self._count_servers(plan.find_regions(route)),
         )
         self.admission.acquire(ticket)
         self._tickets[call.request_id] = ticket
@@ -163,7 +163,7 @@
             self.admission.release(ticket, is_failure)
 
     def _check(self, call):
-        """Check that the request may run here; returns its Plan and regions."""
+        """Check that the request may run here; returns its Plan and Route."""
         if call.incarnation != self._identity.incarnation:
             raise RequestError(ErrorKind.STALE_INCARNATION)
         self._lease.check()
@@ -182,10 +182,9 @@
         route = plan.find_route(call.service, call.method, call.path.partition("?")[0])
         if route is None:
             raise RequestError(ErrorKind.NOT_ALLOWED)
-        regions = plan.find_regions(route)
-        if region not in regions:
+        if region not in plan.find_regions(route):
             raise RequestError(ErrorKind.WRONG_REGION)
-        return plan, regions
+        return plan, route
 
     def _count_servers(self, regions):
         """Return the servers of some regions that serve the own service."""
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cluster import IN_FORCE_SECONDS, Cluster, call, fetch_json
+from cluster import IN_FORCE_SECONDS, WAIT_SECONDS, Cluster, call, fetch_json
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.messages import Call
 from godwitrack.store import HttpClient
@@ -303,3 +303,34 @@
     assert "Godwitrack-Error" not in headers
     assert json.loads(body)["operation"] == "everywhere"
     assert 1 <= cluster.count_runs()["everywhere"] <= 3
+
+
+def test_slow_paths_with_a_route_of_their_own_hold_nobody_up():
+    """Commits of schedules take long beside scenes, at the same server and class."""
+    with Cluster(1, ("styrning-1",)) as cluster:
+        member = cluster.members[0]
+        is_over = threading.Event()
+
+        def wait_for_end(request):
+            if "schedules" in request.target:
+                is_over.wait(WAIT_SECONDS)
+
+        def send(path):
+            return call(member.callers, "POST", path)[0]
+
+        member.backend.behaviour.call_others = wait_for_end
+        for _ in range(40):
+            assert send("/styrning/scenes/1/apply") == 200
+        slow = [
+            threading.Thread(target=send, args=("/styrning/schedules/1/commit",))
+            for _ in range(2)
+        ]
+        for thread in slow:
+            thread.start()
+        cluster.wait(lambda: member.find("guard").admission.in_flight == 2, "both run")
+        time.sleep(0.1)
+        answers = [send("/styrning/scenes/1/apply") for _ in range(5)]
+        is_over.set()
+        for thread in slow:
+            thread.join()
+        assert answers == [200] * 5
