Look for late requests once for each decision, not for each that waits

Cause, found on reading the change once more: whether running requests hold the server was asked again for each waiting one, under the lock, although nothing in that loop can change the answer.

--- a/packages/godwitrack_node/src/godwitrack_node/admission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/admission.py
@@ -84,9 +84,10 @@
             self._take_token(use, ticket.rate, now)
             if ticket.rank == 0:
                 self._urgent_at = now
-            if not self._queue and self._may_start(ticket, use, now):
-                self._start(ticket, use, now)
-                return
+            if not self._queue and not self._is_held(now):
+                if self._may_start(ticket, use, now):
+                    self._start(ticket, use, now)
+                    return
             self._check_wait(ticket, now)
             ticket.wait_until = min(ticket.deadline, now + MAX_WAIT_SECONDS)
             ticket.prepare_wait()
@@ -206,7 +207,7 @@
         most urgent one.
         """
         free = self.warmup.cap - len(self._running)
-        if free <= 0 or self._is_held(now):
+        if free <= 0:
             return False
         if ticket.rank > 0 and now - self._urgent_at < ACTIVE_SECONDS:
             return free > self._find_reserve()
