--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SIZES ?= 10,30,60
 TRACE ?= examples/traces/ljusgemenskapen.jsonl
 STAMP = $(VENV)/.installed
-PROJECTS = $(wildcard packages/*/pyproject.toml)
+PROJECTS = $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 
 .PHONY: help setup demo test lint format scenarios replay bench bench-control bench-parts clean
 
@@ -20,7 +20,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --upgrade setuptools
 	$(BIN)/pip install --quiet -e packages/godwitrack -e packages/godwitrack_node \
-		-e packages/godwitrack_ctl -e packages/godwitrack_lab
+		-e packages/godwitrack_ctl -e packages/godwitrack_lab -e platform
 	touch $(STAMP)
 
 demo: setup  ## Run one deployment end to end (DEPLOYMENT=ljusgemenskapen or hinokuni).
--- a/packages/godwitrack/src/godwitrack/exceptions.py
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -10,11 +10,15 @@
     UNAUTHENTICATED = "unauthenticated"
     NOT_ALLOWED = "not_allowed"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
     WRONG_REGION = "wrong_region"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
     TOO_DEEP = "too_deep"
     OVER_CAPACITY = "over_capacity"
     SERVER_BUSY = "server_busy"
+    SERVER_SHED = "server_shed"
     NO_SERVER = "no_server"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
@@ -22,6 +26,7 @@
     STALE_INCARNATION = "stale_incarnation"
     FENCED = "fenced"
     DEADLINE_EXPIRED = "deadline_expired"
+    NO_ROOM = "no_room"
     BACKEND_UNREACHABLE = "backend_unreachable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_LOST = "answer_lost"
@@ -64,12 +69,21 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(
         404, True, False, False, "No service of this name is known."
     ),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(
+        404, True, False, False, "No route matches the host and path."
+    ),
     ErrorKind.WRONG_REGION: ErrorAnswer(
         421, True, True, True, "The request may not be served in this region."
     ),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(
         413, True, False, False, "The body is larger than the limit."
     ),
+    ErrorKind.HEAD_TOO_LARGE: ErrorAnswer(
+        431, True, False, False, "The head is larger than the limit."
+    ),
+    ErrorKind.HEAD_TIMEOUT: ErrorAnswer(
+        408, True, False, True, "The head did not arrive in time."
+    ),
     ErrorKind.TOO_DEEP: ErrorAnswer(
         508, True, False, False, "The chain of calls is deeper than the limit."
     ),
@@ -79,6 +93,9 @@
     ErrorKind.SERVER_BUSY: ErrorAnswer(
         503, True, True, True, "The backend server can bear no more load now."
     ),
+    ErrorKind.SERVER_SHED: ErrorAnswer(
+        503, True, True, True, "The backend server itself turned the request away."
+    ),
     ErrorKind.NO_SERVER: ErrorAnswer(
         503, True, False, True, "No backend server may take the request now."
     ),
@@ -100,6 +117,9 @@
     ErrorKind.DEADLINE_EXPIRED: ErrorAnswer(
         504, True, False, True, "The deadline passed before the request ran."
     ),
+    ErrorKind.NO_ROOM: ErrorAnswer(
+        503, True, False, True, "The service has no room for the request in time."
+    ),
     ErrorKind.BACKEND_UNREACHABLE: ErrorAnswer(
         502, True, True, True, "The backend server accepted no connection."
     ),
@@ -181,10 +201,12 @@
     Attributes:
         kind: The ErrorKind.
         detail: One line for people; never holds a body or a key.
+        retry_after: Seconds after which the caller should come back, or None.
     """
 
-    def __init__(self, kind, detail=""):
+    def __init__(self, kind, detail="", retry_after=None):
         super().__init__(detail or ERROR_ANSWERS[kind].text)
+        self.retry_after = retry_after
         self.kind = kind
         self.detail = detail or ERROR_ANSWERS[kind].text
 
--- a/packages/godwitrack/src/godwitrack/link.py
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -16,13 +16,21 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from godwitrack.exceptions import LinkError, LinkRefused, LinkTimeout, MessageError
+from godwitrack.exceptions import (
+    CallerGone,
+    LinkError,
+    LinkRefused,
+    LinkTimeout,
+    MessageError,
+)
 from godwitrack.messages import decode_message
 
 MAX_FRAME_BYTES = 4 * 2**20
 RECEIVE_BYTES = 256 * 1024
 PROOF_AGE_SECONDS = 60
 USER_TIMEOUT_MS = 15_000
+KEEPALIVE_SECONDS = 1
+LINK_TIMEOUT_MS = 3000
 PROOF_HEADER = "Godwitrack-Proof"
 LINGER_NONE = struct.pack("ii", 1, 0)
 
@@ -57,6 +65,11 @@
         """Return the socket's descriptor, for select."""
         return self._socket.fileno()
 
+    @property
+    def watch(self):
+        """A Watch that notices when the other side closes the link."""
+        return Watch(self._socket)
+
     def send(self, message, timeout=None):
         """Send one message.
 
@@ -72,15 +85,17 @@
         self._protocol.send_binary(message.encode())
         self._flush(timeout)
 
-    def receive(self, timeout=None):
+    def receive(self, timeout=None, watch=None):
         """Return the next message.
 
         Args:
             timeout: Seconds to wait, or None to wait for ever.
+            watch: Watch of another connection, or None.
 
         Raises:
             LinkTimeout: Nothing arrived in time; the link can still be used.
             LinkError: The link was closed or a frame is wrong.
+            CallerGone: The other side of the watched connection left.
         """
         deadline = None if timeout is None else time.monotonic() + timeout
         while True:
@@ -101,6 +116,8 @@
             remaining = None
             if deadline is not None:
                 remaining = max(deadline - time.monotonic(), 0.0)
+            if watch is not None:
+                self._wait(watch, remaining)
             self._read(remaining)
 
     def has_input(self):
@@ -108,9 +125,7 @@
         if self._inbox:
             return True
         try:
-            poller = select.poll()
-            poller.register(self._socket, select.POLLIN)
-            return bool(poller.poll(0))
+            return has_input(self._socket)
         except (OSError, ValueError):
             return True
 
@@ -139,6 +154,12 @@
         except OSError:
             pass
 
+    def _wait(self, watch, timeout):
+        try:
+            wait_readable(self._socket, watch, timeout)
+        except (OSError, ValueError) as error:
+            raise LinkError(f"link failed: {error}") from None
+
     def _read(self, timeout):
         try:
             self._socket.settimeout(timeout if timeout != 0 else 0.0)
@@ -170,6 +191,77 @@
         self.sent_bytes += len(data)
 
 
+class Watch:
+    """Notices that the other side of a connection left.
+
+    Bytes that it sends meanwhile stay unread, and nothing more is noticed then.
+    """
+
+    __slots__ = ("_socket",)
+
+    def __init__(self, sock):
+        self._socket = sock
+
+    def fileno(self):
+        """Return the socket's descriptor, or -1 once it is closed."""
+        return self._socket.fileno()
+
+    def is_gone(self):
+        """Tell whether the other side closed the connection."""
+        try:
+            # A socket with a time-out would wait for bytes, whatever the flags.
+            if not has_input(self._socket):
+                return False
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except (OSError, ValueError):
+            return True
+
+
+def has_input(sock):
+    """Tell whether bytes, or the end of the connection, wait to be read."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def wait_readable(sock, watch, timeout, events=select.POLLIN):
+    """Wait until a socket is ready, or the watched connection ends.
+
+    Args:
+        sock: Socket to wait for.
+        watch: Watch, or None.
+        timeout: Seconds, or None to wait for ever.
+        events: Mask of poll events for the socket.
+
+    Returns:
+        Whether the socket is ready; False after the timeout.
+
+    Raises:
+        CallerGone: The other side of the watched connection left.
+    """
+    deadline = None if timeout is None else time.monotonic() + timeout
+    poller = select.poll()
+    poller.register(sock, events)
+    number = -1 if watch is None else watch.fileno()
+    if number >= 0:
+        poller.register(number, select.POLLIN)
+    while True:
+        left = None
+        if deadline is not None:
+            left = max(deadline - time.monotonic(), 0.0) * 1000
+        ready = [item for item, _ in poller.poll(left)]
+        if not ready:
+            return False
+        if number in ready:
+            if watch.is_gone():
+                raise CallerGone("the other side left")
+            # Early bytes of a next request would wake the poll for ever.
+            poller.unregister(number)
+            number = -1
+        if sock.fileno() in ready:
+            return True
+
+
 class Authenticator:
     """Makes and checks the proofs that both sides of a link know the secret."""
 
@@ -241,7 +333,7 @@
         sock = socket.create_connection((host, int(port)), timeout)
     except (OSError, ValueError) as error:
         raise LinkError(f"{address}: {error}") from None
-    tune_socket(sock)
+    tune_link_socket(sock)
     protocol = ClientProtocol(
         parse_uri(f"ws://{address}/link"), max_size=MAX_FRAME_BYTES
     )
@@ -287,7 +379,7 @@
         LinkError: The other side is no node or does not know the secret.
     """
     deadline = time.monotonic() + timeout
-    tune_socket(sock)
+    tune_link_socket(sock)
     protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
     link = Link(sock, protocol, remote)
     while not link._inbox:
@@ -316,6 +408,15 @@
     return link
 
 
+def tune_link_socket(sock):
+    """Set the options of a link, so that one that went silent ends by itself."""
+    tune_socket(sock)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, LINK_TIMEOUT_MS)
+
+
 def tune_socket(sock):
     """Set the options that every connection of the data path uses."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -50,19 +50,27 @@
         queued: Requests waiting.
         limit: Most requests that may run at once now.
         revision: Revision of the configuration in force at the node.
+        slowness: How long work takes now, in percent of the usual time.
     """
 
-    __slots__ = ("in_flight", "limit", "queued", "revision")
+    __slots__ = ("in_flight", "limit", "queued", "revision", "slowness")
 
-    def __init__(self, in_flight, queued, limit, revision):
+    def __init__(self, in_flight, queued, limit, revision, slowness=100):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
         self.revision = revision
+        self.slowness = slowness
 
     def to_data(self):
         """Return the load as plain data."""
-        return [self.in_flight, self.queued, self.limit, self.revision]
+        return [
+            self.in_flight,
+            self.queued,
+            self.limit,
+            self.revision,
+            self.slowness,
+        ]
 
     @classmethod
     def from_data(cls, data):
@@ -71,8 +79,8 @@
         Raises:
             MessageError: The data has another shape.
         """
-        if len(data) != 4 or any(type(item) is not int for item in data):
-            raise MessageError("a load has four whole numbers")
+        if len(data) != 5 or any(type(item) is not int for item in data):
+            raise MessageError("a load has five whole numbers")
         return cls(*data)
 
 
@@ -259,6 +267,69 @@
     __slots__ = ()
 
 
+class RoutedCall(Message):
+    """A request of a host route, sent to the node beside a backend server.
+
+    The field `request_id` names this one attempt, `caller_id` is the id that the
+    caller gave, and `instance` the id of the backend server's process that was
+    chosen. `objective_ms` is the time within which an answer is worth most.
+    """
+
+    TAG = 16
+    FIELDS = (
+        ("request_id", str),
+        ("caller_id", str),
+        ("incarnation", int),
+        ("revision", int),
+        ("service", str),
+        ("caller_service", str),
+        ("method", str),
+        ("path", str),
+        ("headers", list),
+        ("idempotent", bool),
+        ("is_nested", bool),
+        ("is_return", bool),
+        ("regions", list),
+        ("priority", int),
+        ("objective_ms", float),
+        ("deadline_ms", float),
+        ("is_regional", bool),
+        ("length", int),
+        ("body", bytes),
+        ("more", bool),
+    )
+    __slots__ = tuple(name for name, _ in FIELDS)
+
+
+class FeedRequest(Message):
+    """Asks another node for the changes of a table after a version.
+
+    The field `sender` is the address of the asking node's links, `wait_ms` the
+    time to wait for a first change.
+    """
+
+    TAG = 17
+    FIELDS = (("table", int), ("after", int), ("wait_ms", int), ("sender", str))
+    __slots__ = tuple(name for name, _ in FIELDS)
+
+
+class FeedAnswer(Message):
+    """Changes of a table: rows of key, version and bytes or None.
+
+    The field `age_ms` is the time since the store confirmed the content.
+    """
+
+    TAG = 18
+    FIELDS = (
+        ("table", int),
+        ("rows", list),
+        ("version", int),
+        ("is_whole", bool),
+        ("age_ms", int),
+    )
+    __slots__ = tuple(name for name, _ in FIELDS)
+
+
 MESSAGES = {
     message.TAG: message
     for message in (
@@ -277,6 +348,9 @@
         Probe,
         ProbeResult,
         Proceed,
+        RoutedCall,
+        FeedRequest,
+        FeedAnswer,
     )
 }
 
--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -10,6 +10,9 @@
 
 from godwitrack.exceptions import ConflictError, StoreError
 
+# A connection that went silent is noticed although nothing is sent on it.
+KEEPALIVE_SECONDS = 1
+
 
 class Row:
     """One row of a table.
@@ -95,7 +98,7 @@
         self._timeout_ms = max(int(timeout * 1000), 1)
         self._local = threading.local()
 
-    def fetch(self, method, url, body=None, headers=()):
+    def fetch(self, method, url, body=None, headers=(), timeout=None):
         """Return the status and body of an answer.
 
         Args:
@@ -103,6 +106,7 @@
             url: Whole URL.
             body: Bytes to send, or None.
             headers: Header lines to send.
+            timeout: Seconds allowed; those of the client by default.
 
         Raises:
             StoreError: The request failed on the way.
@@ -113,7 +117,11 @@
         handle.reset()
         handle.setopt(pycurl.URL, url)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
-        handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
+        timeout_ms = self._timeout_ms if timeout is None else int(timeout * 1000)
+        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        handle.setopt(pycurl.TCP_KEEPALIVE, 1)
+        handle.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+        handle.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.HTTPHEADER, ["Expect:", *headers])
--- a/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
@@ -147,6 +147,8 @@
 class FakeLink:
     """The entry's end of a link."""
 
+    watch = None
+
     def __init__(self, world, server):
         self._world = world
         self._server = server
@@ -177,7 +179,7 @@
             self._is_open = False
             raise LinkError("cut")
 
-    def receive(self, timeout=None):
+    def receive(self, timeout=None, watch=None):
         """Take one frame from the network, or let the time pass."""
         self._world.disturb()
         if not self._is_open:
@@ -213,13 +215,15 @@
 class _ServerEnd:
     """The guard's end of a link, which keeps what is sent."""
 
+    watch = None
+
     def __init__(self):
         self.sent = []
 
     def send(self, message, timeout=None):
         self.sent.append(decode_message(message.encode()))
 
-    def receive(self, timeout=None):
+    def receive(self, timeout=None, watch=None):
         raise LinkError("nothing follows")
 
 
@@ -231,6 +235,8 @@
         body: The answer's body.
     """
 
+    watch = None
+
     def __init__(self):
         self.status = 0
         self.body = b""
--- a/packages/godwitrack_lab/src/godwitrack_lab/network.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/network.py
@@ -73,12 +73,12 @@
         if not self._check_lost():
             self._link.send(message, timeout)
 
-    def receive(self, timeout=None):
+    def receive(self, timeout=None, watch=None):
         """Return the next message, or wait in vain."""
         if self._check_lost():
             time.sleep(MAX_SILENCE_SECONDS if timeout is None else timeout)
             raise LinkTimeout("nothing arrived in time")
-        message = self._link.receive(timeout)
+        message = self._link.receive(timeout, watch)
         if self._check_lost():
             raise LinkTimeout("nothing arrived in time")
         return message
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -64,7 +64,18 @@
 class RemoteAttempt(Attempt):
     """An attempt over a link, which finds out what happened when the link fails."""
 
-    def __init__(self, clock, pool, address, silence, on_load, pacer=None):
+    def __init__(
+        self,
+        clock,
+        pool,
+        address,
+        silence,
+        on_load,
+        pacer=None,
+        watch=None,
+        grace=0.0,
+        query_timeout=None,
+    ):
         """Prepare an attempt.
 
         Args:
@@ -74,7 +85,14 @@
             silence: Seconds without an answer after which the node is asked.
             on_load: Called with the Load in a refusal.
             pacer: RegionalPacer where the other node is in another region.
+            watch: Watch of the caller's connection, or None.
+            grace: Seconds after the deadline for the other side's last word.
+            query_timeout: Seconds allowed to ask about a silent read; `silence` by
+                default.
         """
+        self._query_timeout = silence if query_timeout is None else query_timeout
+        self._grace = grace
+        self._watch = watch
         self._clock = clock
         self._pool = pool
         self._address = address
@@ -84,7 +102,8 @@
 
     def run(self, call, source, sink):
         """Run the call over a link."""
-        deadline = self._clock.read_monotonic() + call.deadline_ms / 1000.0
+        left = call.deadline_ms / 1000.0 + self._grace
+        deadline = self._clock.read_monotonic() + left
         link = self._connect(call)
         is_complete = False
         try:
@@ -105,7 +124,7 @@
             is_complete = error.kind is ErrorKind.BACKEND_FAILED or (
                 error.kind is not ErrorKind.OUTCOME_UNKNOWN
                 and not sink.is_started
-                and isinstance(error, _RefusedByNode)
+                and isinstance(error, RefusedByNode)
             )
             raise
         finally:
@@ -140,7 +159,7 @@
         while True:
             left = self._find_left(deadline)
             try:
-                return link.receive(min(wait, left))
+                return link.receive(min(wait, left), self._watch)
             except LinkTimeout:
                 outcome = self._query(call, min(left, self._find_query_timeout(call)))
             if outcome is not None and self._is_final(outcome, wait > self._silence):
@@ -163,13 +182,15 @@
                 raise self._give_up(outcome)
             if outcome is None and call.idempotent:
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the link failed")
+            if self._watch is not None and self._watch.is_gone():
+                raise CallerGone("the caller left")
             self._clock.sleep(pause)
             pause = min(pause * 2, MAX_PAUSE_SECONDS)
 
     def _find_query_timeout(self, call):
         """Return the seconds allowed to ask what became of a call."""
         if call.idempotent:
-            return min(self._silence, QUERY_TIMEOUT_SECONDS)
+            return min(self._query_timeout, QUERY_TIMEOUT_SECONDS)
         return QUERY_TIMEOUT_SECONDS
 
     def _query(self, call, timeout):
@@ -233,7 +254,7 @@
         """Hand an answer to the sink and return the load in it."""
         if type(message) is Refused:
             self._on_load(Load.from_data(message.load))
-            raise _RefusedByNode(message)
+            raise RefusedByNode(message)
         if type(message) is not Answer:
             raise RequestError(ErrorKind.ANSWER_LOST, "no answer came")
         headers = check_headers(message.headers)
@@ -295,7 +316,7 @@
         return None
 
 
-class _RefusedByNode(RequestError):
+class RefusedByNode(RequestError):
     """The other node's own refusal, after which the link can be used again."""
 
     def __init__(self, message):
--- a/packages/godwitrack_node/src/godwitrack_node/callers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -1,17 +1,10 @@
 """The callers' port."""
 
-import json
-
-from godwitrack.exceptions import (
-    ERROR_ANSWERS,
-    CallerGone,
-    ErrorKind,
-    RequestError,
-)
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
 from godwitrack.kernel import Service
 from godwitrack.link import tune_socket
 from godwitrack.logs import find_logger
-from godwitrack_node.context import ERROR_HEADER, REQUEST_ID_HEADER
+from godwitrack_node.dialect import JsonDialect
 from godwitrack_node.httpserver import ConnectionServer, HttpConnection
 
 
@@ -20,8 +13,17 @@
 
     name = "callers"
 
-    def __init__(self, executor, address, limit):
+    def __init__(self, executor, address, limit, dialect=None):
+        """Prepare without listening.
+
+        Args:
+            executor: concurrent.futures.Executor.
+            address: Address to listen on.
+            limit: Most connections at once.
+            dialect: CallerDialect; the product's own by default.
+        """
         self._executor = executor
+        self._dialect = dialect or JsonDialect()
         self._address = address
         self._limit = limit
         self._server = None
@@ -29,6 +31,7 @@
         self._metrics = None
         self._request_log = None
         self._is_stopping = False
+        self._is_refusing = False
         self._log = find_logger("callers")
 
     @property
@@ -49,9 +52,17 @@
         )
         self._server.start()
 
+    def begin_stop(self):
+        """Close each connection after its next answer, but accept more."""
+        self._is_stopping = True
+
     def drain(self):
-        """Accept no more connections, and close each after its request."""
+        """Accept no more connections, and close each after its request.
+
+        Requests that still arrive on open connections are refused as not run.
+        """
         self._is_stopping = True
+        self._is_refusing = True
         self._server.close()
 
     def stop(self):
@@ -60,7 +71,7 @@
 
     def _serve(self, sock, remote):
         tune_socket(sock)
-        connection = HttpConnection(sock)
+        connection = HttpConnection(sock, self._entry.limits)
         while self._serve_request(connection, remote):
             pass
 
@@ -76,7 +87,7 @@
             return False
         if self._is_stopping:
             request.keep_alive = False
-        errand = self._entry.begin(request)
+        errand = self._entry.begin(request, remote)
         with self._metrics.track_request():
             is_open = self._handle(errand, request, connection)
         self._metrics.record_request(errand)
@@ -86,6 +97,8 @@
     def _handle(self, errand, request, connection):
         """Handle one request; returns whether the connection is in good order."""
         try:
+            if self._is_refusing:
+                raise RequestError(ErrorKind.STOPPING, "the node is stopping")
             self._entry.handle(errand, request, connection)
             return True
         except RequestError as error:
@@ -106,25 +119,15 @@
 
     def _refuse(self, connection, error, request_id, keep_alive):
         """Send an error answer; returns whether the caller took it."""
-        answer = ERROR_ANSWERS[error.kind]
-        body = json.dumps(
-            {
-                "error": error.kind.value,
-                "text": error.detail,
-                "not_run": answer.not_run,
-                "may_repeat": answer.repeatable,
-                "request_id": request_id,
-            }
-        ).encode()
-        headers = [
-            ("Content-Type", "application/json"),
-            (ERROR_HEADER, error.kind.value),
-            ("Godwitrack-Not-Run", "true" if answer.not_run else "false"),
-        ]
-        if request_id:
-            headers.append((REQUEST_ID_HEADER, request_id))
+        refusal = self._dialect.write_refusal(error, request_id)
         try:
-            connection.start_answer(answer.status, headers, len(body), body, keep_alive)
+            connection.start_answer(
+                refusal.status,
+                refusal.headers,
+                len(refusal.body),
+                refusal.body,
+                keep_alive,
+            )
         except CallerGone:
             return False
         return True
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -0,0 +1,366 @@
+"""The entry of host routes: takes a caller's request to a backend server and back."""
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack.messages import RoutedCall
+from godwitrack_node.attempt import LocalAttempt, RefusedByNode, RemoteAttempt
+from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
+from godwitrack_node.repeats import RepeatRule, is_refusal
+from godwitrack_node.returning import ReturnTimer
+from godwitrack_node.splitting import SplitChooser
+
+DEFAULT_TIMEOUT_SECONDS = 30.0
+BUFFERED_BODY_BYTES = 2**20
+# Time for the guard's last word on a request whose time is up.
+GRACE_SECONDS = 0.12
+SILENCE_SHARE = 0.6
+MIN_SILENCE_SECONDS = 0.15
+# Three round trips between regions, and a busy node at either end.
+QUERY_SECONDS = 0.5
+REFUSED_AWAY_SECONDS = 0.3
+PROBE_SECONDS = 0.25
+AWAY_KINDS = frozenset((ErrorKind.STOPPING, ErrorKind.STALE_INCARNATION))
+
+
+class RoutedErrand:
+    """What the entry knows of one request while it works on it.
+
+    Attributes:
+        request_id: Id of the request; the caller's own where it gave one.
+        attempt_prefix: Text that begins the id of each attempt.
+        method: HTTP method.
+        target: Path and query as sent.
+        path: Path without the query.
+        remote: "host:port" of the caller.
+        received_at: Monotonic time of its arrival in seconds.
+        deadline: Monotonic time in seconds.
+        caller_deadline: Monotonic time until which the caller waits, in seconds.
+        route: HostRoute, or None.
+        service: Name of the service that it goes to, or "".
+        rule: RepeatRule, or None.
+        server: Address of the member tried last, or "".
+        status: HTTP status given to the caller, or 0.
+        kind: ErrorKind given to the caller, or None.
+        revision: Revision of the routes that decided.
+    """
+
+    __slots__ = (
+        "attempt_prefix",
+        "caller_deadline",
+        "deadline",
+        "kind",
+        "method",
+        "path",
+        "received_at",
+        "remote",
+        "request_id",
+        "revision",
+        "route",
+        "rule",
+        "server",
+        "service",
+        "status",
+        "target",
+    )
+
+    customer = ""
+    depth = 1
+
+    def __init__(self, request_id, attempt_prefix, request, remote, now):
+        self.request_id = request_id
+        self.attempt_prefix = attempt_prefix
+        self.method = request.method
+        self.target = request.target
+        self.path = request.target.partition("?")[0]
+        self.remote = remote
+        self.received_at = now
+        self.deadline = now
+        self.caller_deadline = now
+        self.route = None
+        self.service = ""
+        self.rule = None
+        self.server = ""
+        self.status = 0
+        self.kind = None
+        self.revision = 0
+
+    @property
+    def attempts(self):
+        """Attempts made."""
+        return self.rule.attempts if self.rule is not None else 0
+
+    @property
+    def request_class(self):
+        """Name of the route, which groups requests in metrics and logs."""
+        return self.route.name if self.route is not None else ""
+
+
+class Dispatcher(Service):
+    """Finds the route of a request and makes the attempts."""
+
+    name = "entry"
+
+    def __init__(self, clock, executor, identity, dialect, placer, share):
+        """Prepare without serving.
+
+        Args:
+            clock: Clock.
+            executor: concurrent.futures.Executor.
+            identity: Identity of the node.
+            dialect: RouteDialect of the callers.
+            placer: Placer.
+            share: RetryShare.
+        """
+        self._clock = clock
+        self._executor = executor
+        self._identity = identity
+        self._dialect = dialect
+        self._placer = placer
+        self._share = share
+        self._splitter = SplitChooser()
+        self._timer = ReturnTimer()
+        self._routes = None
+        self._roster = None
+        self._pool = None
+        self._pacer = None
+        self._guard = None
+        self._news = None
+        self._own_address = ""
+        self._log = find_logger("entry")
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        self._routes = kernel.find("configurations")
+        self._roster = kernel.find("roster")
+        self._pool = kernel.find("link-pool")
+        self._pacer = kernel.find("regional-pacer")
+        self._guard = kernel.find("guard")
+        self._news = kernel.find("membership")
+        self._own_address = kernel.find("link-server").advertised
+        kernel.find("scheduler").add(PROBE_SECONDS, self._probe_silent)
+
+    @property
+    def limits(self):
+        """CallerLimits for what callers send."""
+        return self._routes.limits
+
+    def begin(self, request, remote=""):
+        """Return the RoutedErrand of a request that just arrived."""
+        now = self._clock.read_monotonic()
+        prefix = self._identity.make_request_id()
+        request_id = self._dialect.read_request_id(request) or prefix
+        return RoutedErrand(request_id, prefix, request, remote, now)
+
+    def handle(self, errand, request, connection):
+        """Serve a request.
+
+        Args:
+            errand: RoutedErrand made by `begin`.
+            request: HttpRequest.
+            connection: HttpConnection, which gets the answer.
+
+        Raises:
+            RequestError: There is no answer; if the connection's answer has begun,
+                the connection must be closed.
+            CallerGone: The caller closed the connection.
+        """
+        self._classify(errand, request)
+        limits = self._routes.limits
+        if request.length > limits.body_bytes:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        source = CallerSource(connection, limits.body_bytes)
+        body, more = read_first_part(source, request, BUFFERED_BODY_BYTES)
+        source.is_touched = False
+        sink = CallerSink(connection, request, None, errand.rule.may_replace)
+        try:
+            self._make_attempts(errand, request, source, sink, body, more)
+        except RequestError as error:
+            raise self._conclude(errand, error) from None
+        errand.status = sink.status
+
+    def _classify(self, errand, request):
+        """Find the route of a request and fill in the errand."""
+        table = self._routes.read()
+        errand.revision = table.revision
+        route = table.find_route(request.get("host"), errand.path)
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_ROUTE)
+        errand.route = route
+        timeout = self._dialect.read_timeout(request)
+        if timeout is None:
+            timeout = max(route.timeout, DEFAULT_TIMEOUT_SECONDS)
+        errand.caller_deadline = errand.received_at + timeout
+        errand.deadline = errand.received_at + min(timeout, route.timeout)
+        errand.service = self._splitter.choose(route)
+        errand.rule = RepeatRule(self._share, errand.service, route)
+        self._share.note_request(errand.service)
+
+    def _make_attempts(self, errand, request, source, sink, body, more):
+        tried = set()
+        uncertain = None
+        while True:
+            view = self._choose(errand, tried, uncertain)
+            tried.add(view.member.address)
+            call = self._make_call(errand, request, view.member, body, more)
+            try:
+                self._attempt(errand, view, call, source, sink)
+                return
+            except RequestError as error:
+                errand.rule.note(error)
+                self._log_attempt(errand, error)
+                if not error.answer.not_run:
+                    uncertain = uncertain or error
+                if self._may_repeat(errand, error, source, sink):
+                    continue
+                if not sink.is_started and sink.release_held():
+                    return
+                # Once an attempt may have run, no later refusal says "not run".
+                raise uncertain or error from None
+
+    def _choose(self, errand, tried, uncertain):
+        now = self._clock.read_monotonic()
+        if now >= errand.deadline:
+            raise uncertain or RequestError(ErrorKind.NO_ROOM, "no time is left")
+        views = [
+            view
+            for view in self._roster.list_views(errand.service)
+            if view.member.data_centre not in self._routes.taken_out
+        ]
+        view = self._placer.choose(views, errand.route, now, tried)
+        if view is None:
+            kind = ErrorKind.NO_ROOM if tried else ErrorKind.NO_SERVER
+            raise uncertain or RequestError(kind)
+        return view
+
+    def _attempt(self, errand, view, call, source, sink):
+        """Make one attempt and learn from it."""
+        errand.server = view.member.address
+        view.in_flight += 1
+        try:
+            load = self._find_attempt(errand, view, call, source).run(
+                call, source, sink
+            )
+        except RequestError as error:
+            self._learn(view, error)
+            raise
+        finally:
+            view.in_flight -= 1
+        now = self._clock.read_monotonic()
+        if sink.status >= 500:
+            view.note_failure(now)
+        if load is not None:
+            self._take_load(view, load)
+
+    def _find_attempt(self, errand, view, call, source):
+        if view.member.address == self._own_address:
+            return LocalAttempt(self._guard)
+        silence = max(errand.route.objective * SILENCE_SHARE, MIN_SILENCE_SECONDS)
+        return RemoteAttempt(
+            self._clock,
+            self._pool,
+            view.member.address,
+            silence,
+            lambda load: self._take_load(view, load),
+            self._pacer if call.is_regional else None,
+            source.watch,
+            GRACE_SECONDS,
+            QUERY_SECONDS,
+        )
+
+    def _learn(self, view, error):
+        """Take what a failed attempt says of a member."""
+        now = self._clock.read_monotonic()
+        if error.kind in AWAY_KINDS:
+            view.note_away(now)
+        elif isinstance(error, RefusedByNode) or self._is_own(view):
+            if error.kind is ErrorKind.BACKEND_UNREACHABLE:
+                view.note_away(now, REFUSED_AWAY_SECONDS)
+            elif not is_refusal(error):
+                view.note_failure(now)
+        elif error.kind is ErrorKind.BACKEND_UNREACHABLE:
+            view.note_down(now)
+        elif error.kind is ErrorKind.OUTCOME_UNKNOWN:
+            view.note_failure(now)
+            view.note_down(now)
+        else:
+            view.note_failure(now)
+
+    def _is_own(self, view):
+        return view.member.address == self._own_address
+
+    def _take_load(self, view, load):
+        view.take_load(load, self._clock.read_monotonic())
+        self._news.hint(view.member.address, load.revision)
+
+    def _may_repeat(self, errand, error, source, sink):
+        if sink.is_started or source.is_touched:
+            return False
+        if errand.deadline <= self._clock.read_monotonic():
+            return False
+        return errand.rule.allows(error)
+
+    def _conclude(self, errand, error):
+        """Return the RequestError for the caller, with the time to come back."""
+        if error.answer.not_run and error.answer.status >= 500:
+            left = errand.caller_deadline - self._clock.read_monotonic()
+            return RequestError(
+                ErrorKind.NO_ROOM, error.detail, self._timer.choose(left)
+            )
+        return error
+
+    def _make_call(self, errand, request, member, body, more):
+        left = errand.deadline - self._clock.read_monotonic()
+        route = errand.route
+        return RoutedCall(
+            f"{errand.attempt_prefix}.{errand.attempts}",
+            errand.request_id,
+            member.boot,
+            errand.revision,
+            errand.service,
+            self._identity.service,
+            errand.method,
+            errand.target,
+            self._dialect.list_forwarded(request),
+            route.idempotent,
+            self._is_nested(errand),
+            False,
+            sorted(route.regions),
+            route.priority,
+            route.objective * 1000.0,
+            max(left, 0.001) * 1000.0,
+            member.region != self._identity.region,
+            request.length,
+            body,
+            more,
+        )
+
+    def _is_nested(self, errand):
+        """Tell whether the backend server beside the node sent the request."""
+        return errand.remote.partition(":")[0] == self._own_address.partition(":")[0]
+
+    def _probe_silent(self):
+        """Look whether nodes that could not be reached answer again."""
+        now = self._clock.read_monotonic()
+        for member in self._roster.list_members():
+            view = self._roster.find_view(member.address)
+            if view is not None and view.is_probe_due(now):
+                view.note_down(now)
+                self._executor.submit(self._probe, view)
+
+    def _probe(self, view):
+        if self._news.can_reach(view.member.address):
+            view.note_up()
+
+    def _log_attempt(self, errand, error):
+        self._log.info(
+            "attempt failed",
+            request_id=errand.request_id,
+            route=errand.route.name,
+            service=errand.service,
+            server=errand.server,
+            attempt=errand.attempts,
+            kind=error.kind.value,
+            detail=error.detail,
+            revision=errand.revision,
+        )
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -10,8 +10,8 @@
     DEADLINE_HEADER,
     REQUEST_ID_HEADER,
 )
-from godwitrack_node.exchange import PART_BYTES, CallerSink, CallerSource
-from godwitrack_node.httpserver import HOP_HEADERS
+from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
+from godwitrack_node.httpserver import DEFAULT_LIMITS, HOP_HEADERS
 from godwitrack_node.retries import RetryBudget, RetryRule
 
 DROP_HEADERS = HOP_HEADERS | {
@@ -117,7 +117,12 @@
         self._pacer = kernel.find("regional-pacer")
         self._guard = kernel.find("guard")
 
-    def begin(self, request):
+    @property
+    def limits(self):
+        """CallerLimits for what callers send."""
+        return DEFAULT_LIMITS
+
+    def begin(self, request, remote=""):
         """Return the Errand of a request that just arrived."""
         now = self._clock.read_monotonic()
         return Errand(self._identity.make_request_id(), request, now)
@@ -147,7 +152,7 @@
         if request.length > self._max_body:
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         source = CallerSource(connection, self._max_body)
-        body, more = _read_first_part(source, request)
+        body, more = read_first_part(source, request)
         source.is_touched = False
         sink = CallerSink(
             connection,
@@ -340,19 +345,3 @@
         service, _, query = service.partition("?")
         return service, f"/?{query}"
     return service, f"/{rest}" if slash else "/"
-
-
-def _read_first_part(source, request):
-    """Return the first part of a body and whether more may follow."""
-    if request.length == 0:
-        return b"", False
-    parts, size = [], 0
-    while size < PART_BYTES:
-        part = source.read()
-        if not part:
-            return b"".join(parts), False
-        parts.append(part)
-        size += len(part)
-        if size == request.length:
-            return b"".join(parts), False
-    return b"".join(parts), True
--- a/packages/godwitrack_node/src/godwitrack_node/exchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/exchange.py
@@ -16,7 +16,13 @@
 
 
 class BodySource(abc.ABC):
-    """Gives the parts of a request's body that follow the first one."""
+    """Gives the parts of a request's body that follow the first one.
+
+    Attributes:
+        watch: Watch of the connection on which the request came, or None.
+    """
+
+    watch = None
 
     @abc.abstractmethod
     def read(self):
@@ -66,6 +72,7 @@
     def __init__(self, connection, limit):
         self._connection = connection
         self._left = limit
+        self.watch = connection.watch
         self.is_touched = False
 
     def read(self):
@@ -91,7 +98,7 @@
         Args:
             connection: HttpConnection.
             request: HttpRequest.
-            request_id_header: Pair of name and value.
+            request_id_header: Pair of name and value to add, or None.
             may_repeat: Function of a status that tells whether a further attempt
                 may replace the answer.
         """
@@ -125,7 +132,8 @@
     def _send_first(self, status, headers, length, body, more):
         self.is_started = True
         self.status = status
-        headers = [*headers, self._request_id_header]
+        if self._request_id_header is not None:
+            headers = [*headers, self._request_id_header]
         if self._request.method == "HEAD" or status in NO_BODY_STATUSES:
             if length >= 0 and status != 204:
                 headers.append(("Content-Length", str(length)))
@@ -161,6 +169,7 @@
 
     def __init__(self, link):
         self._link = link
+        self.watch = link.watch
         self._is_done = False
         self._is_begun = False
 
@@ -247,9 +256,17 @@
         headers: Headers of the answer without those of the connection.
     """
 
-    def __init__(self, sink, drop_headers):
+    def __init__(self, sink, drop_headers, part_bytes=PART_BYTES):
+        """Prepare for one answer.
+
+        Args:
+            sink: AnswerSink.
+            drop_headers: Names in lower case of headers to leave out.
+            part_bytes: Bytes that are handed over before the answer is whole.
+        """
         self._sink = sink
         self._drop_headers = drop_headers
+        self._part_bytes = part_bytes
         self._pieces = []
         self._size = 0
         self._length = -1
@@ -278,7 +295,7 @@
         """Take a piece of the body."""
         self._pieces.append(data)
         self._size += len(data)
-        if self._size >= PART_BYTES:
+        if self._size >= self._part_bytes:
             self._flush(True)
 
     def finish(self):
@@ -293,3 +310,25 @@
             return
         self._is_started = True
         self._sink.start(self.status, self.headers, self._length, body, more)
+
+
+def read_first_part(source, request, limit=PART_BYTES):
+    """Return the first part of a body and whether more may follow.
+
+    Args:
+        source: CallerSource.
+        request: HttpRequest.
+        limit: Bytes after which the rest is left to be read later.
+    """
+    if request.length == 0:
+        return b"", False
+    parts, size = [], 0
+    while size < limit:
+        part = source.read()
+        if not part:
+            return b"".join(parts), False
+        parts.append(part)
+        size += len(part)
+        if size == request.length:
+            return b"".join(parts), False
+    return b"".join(parts), True
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -0,0 +1,120 @@
+"""A node's copy of one table of the store, which it also hands on to others."""
+
+import threading
+
+from godwitrack.feed import FeedPage
+
+REMOVED_ROWS = 1000
+
+
+class FeedReplica:
+    """Holds the rows of a table as of one version."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._rows = {}
+        self._removed = {}
+        self._version = -1
+        self._complete_since = 0
+        self._confirmed_at = None
+
+    @property
+    def version(self):
+        """Version up to which nothing is missing, or -1 before the first page."""
+        return self._version
+
+    @property
+    def age(self):
+        """Seconds since the store confirmed the content, or None if it never did."""
+        if self._confirmed_at is None:
+            return None
+        return max(self._clock.read_monotonic() - self._confirmed_at, 0.0)
+
+    def find(self, key):
+        """Return the FeedRow of a key, or None where there is none."""
+        return self._rows.get(key)
+
+    def list_rows(self):
+        """Return all FeedRows."""
+        with self._changed:
+            return list(self._rows.values())
+
+    def merge(self, page):
+        """Take over a FeedPage.
+
+        Returns:
+            Whether any row changed.
+        """
+        with self._changed:
+            self._note_confirmed(page)
+            if page.version < self._version:
+                return False
+            has_changed = self._version < 0
+            if page.is_whole:
+                has_changed |= self._drop_unlisted(page)
+                self._complete_since = page.version
+            for row in page.rows:
+                has_changed |= self._merge_row(row)
+            self._version = page.version
+            self._changed.notify_all()
+        return has_changed
+
+    def read(self, after, wait):
+        """Return a FeedPage of what changed after a version, or None if unknown.
+
+        Args:
+            after: Version up to which the reader knows everything; -1 for nothing.
+            wait: Seconds to wait for a first change.
+        """
+        with self._changed:
+            self._changed.wait_for(lambda: self._version > after, wait)
+            age = self.age
+            if age is None or self._version < 0 or self._version < after:
+                return None
+            if after < self._complete_since:
+                return FeedPage(list(self._rows.values()), self._version, True, age)
+            rows = [
+                row
+                for row in (*self._rows.values(), *self._removed.values())
+                if row.version > after
+            ]
+            rows.sort(key=lambda row: row.version)
+            return FeedPage(rows, self._version, False, age)
+
+    def _note_confirmed(self, page):
+        confirmed_at = self._clock.read_monotonic() - page.age
+        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+
+    def _merge_row(self, row):
+        held = self._rows.get(row.key) or self._removed.get(row.key)
+        if held is not None and held.version >= row.version:
+            return False
+        if row.value is None:
+            self._rows.pop(row.key, None)
+            self._removed[row.key] = row
+            self._bound_removed()
+        else:
+            self._removed.pop(row.key, None)
+            self._rows[row.key] = row
+        return True
+
+    def _drop_unlisted(self, page):
+        listed = {row.key for row in page.rows}
+        missing = [
+            key
+            for key, row in self._rows.items()
+            if key not in listed and row.version <= page.version
+        ]
+        for key in missing:
+            del self._rows[key]
+        self._removed.clear()
+        return bool(missing)
+
+    def _bound_removed(self):
+        if len(self._removed) <= REMOVED_ROWS:
+            return
+        oldest = min(self._removed.values(), key=lambda row: row.version)
+        del self._removed[oldest.key]
+        self._complete_since = max(self._complete_since, oldest.version)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -0,0 +1,272 @@
+"""The gate: the only way to the backend server for requests of host routes."""
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack.messages import Load
+from godwitrack_node.exchange import LinkSink, PartCollector
+from godwitrack_node.httpserver import HOP_HEADERS
+from godwitrack_node.instance import InstanceClient, InstanceRequest
+from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+from godwitrack_node.pacing import PartSender
+from godwitrack_node.waiting import Entrant, WaitingRoom
+
+CONNECTIONS = 200
+KEPT_BODY_BYTES = 64 * 1024
+# The backend server ends late work itself; its own word is worth the wait.
+DEADLINE_MARGIN_SECONDS = 0.06
+USUAL_SLOWNESS = 100
+CHECK_GAP_SECONDS = 0.3
+
+
+class Gate(Service):
+    """Admits requests, runs them at the backend server, and remembers them."""
+
+    name = "guard"
+
+    def __init__(self, clock, identity, address, dialect, client=None):
+        """Prepare without connecting.
+
+        Args:
+            clock: Clock.
+            identity: Identity of the node.
+            address: Address of the backend server.
+            dialect: ServerDialect that the backend server speaks.
+            client: InstanceClient; a new one by default.
+        """
+        self._clock = clock
+        self._identity = identity
+        self._dialect = dialect
+        self._client = client or InstanceClient(clock, address, CONNECTIONS)
+        self._routes = None
+        self._registration = None
+        self._pacer = None
+        self._slowness = USUAL_SLOWNESS
+        self._is_stopping = False
+        self._checked_at = 0.0
+        self._log = find_logger("guard")
+        self.ledger = Ledger(clock)
+        self.room = WaitingRoom(clock)
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        self._routes = kernel.find("configurations")
+        self._registration = kernel.find("registration")
+        self._pacer = kernel.find("regional-pacer")
+
+    def begin_stop(self):
+        """Refuse new requests as not run; those that run go on."""
+        self._is_stopping = True
+        self.room.close(ErrorKind.STOPPING)
+
+    def stop(self):
+        """Close the idle connections to the backend server."""
+        self._client.close_idle()
+
+    def configure(self, slots, cold_rate):
+        """Set what the backend server bears; see WaitingRoom.configure."""
+        self.room.configure(slots, cold_rate)
+
+    def take_slowness(self, percent):
+        """Note how long work takes now, in percent of the usual time."""
+        self._slowness = percent
+
+    def read_load(self):
+        """Return the Load of the backend server."""
+        room = self.room
+        return Load(
+            room.in_flight,
+            room.queued,
+            room.limit,
+            self._routes.revision,
+            self._slowness,
+        )
+
+    def make_sink(self, link, call):
+        """Return the LinkSink for the answer to a call that came over a link."""
+        pacer = self._pacer if call.is_regional else None
+        sender = PartSender(link, self._clock, pacer)
+        return LinkSink(link, call, self.read_load, sender, self._clock)
+
+    def query(self, request_id, incarnation):
+        """Say what became of a request; one that did not start is fenced.
+
+        Args:
+            request_id: Id of the attempt.
+            incarnation: Incarnation to which it was sent.
+
+        Returns:
+            OutcomeState and KeptAnswer or None.
+        """
+        entry = self.ledger.query(request_id)
+        is_own = incarnation == self._identity.incarnation
+        if entry.state is OutcomeState.FENCED and not is_own:
+            # It may have run before the node was started again.
+            return OutcomeState.UNKNOWN, None
+        return entry.state, entry.answer
+
+    def check_health(self, deadline):
+        """Return the Health of the backend server.
+
+        Args:
+            deadline: Monotonic time in seconds.
+
+        Raises:
+            RequestError: It did not answer.
+        """
+        limits = self._routes.find_limits(self._identity.service)
+        path = limits.health_path if limits is not None else "/health"
+        headers = self._dialect.make_health_headers()
+        request = InstanceRequest("GET", path, headers, b"", 0, None, True)
+        answer = self._client.send(request, lambda _: True, deadline)
+        return self._dialect.read_health(answer)
+
+    def run(self, call, source, sink):
+        """Run a request at the backend server.
+
+        Args:
+            call: RoutedCall.
+            source: BodySource for what follows the call's first part.
+            sink: AnswerSink.
+
+        Raises:
+            RequestError: The request got no answer.
+            CallerGone: The other side of source or sink is gone.
+        """
+        # Whoever asks about a request that still waits must not fence it.
+        self.ledger.claim(call.request_id)
+        try:
+            self._run(call, source, sink)
+        except RequestError as error:
+            self._log_refusal(call, error)
+            self._note_end(call, error)
+            raise
+        except Exception:
+            self.ledger.fail(call.request_id)
+            raise
+
+    def _run(self, call, source, sink):
+        now = self._clock.read_monotonic()
+        deadline = now + call.deadline_ms / 1000.0
+        self._check(call)
+        entrant = Entrant(
+            call.priority,
+            call.objective_ms / 1000.0,
+            deadline,
+            call.is_nested,
+            call.is_return,
+        )
+        self.room.acquire(entrant, source.watch)
+        is_answered = False
+        try:
+            # It may have begun to leave while the request waited.
+            self._check(call)
+            answer = self._send(call, source, deadline)
+            is_answered = True
+        finally:
+            self.room.release(entrant, is_answered)
+        self._hand_over(call, answer, sink)
+
+    def _check(self, call):
+        """Check that the request may run here."""
+        registration = self._registration
+        if self._is_stopping:
+            raise RequestError(ErrorKind.STOPPING, "the node is stopping")
+        if call.service != self._identity.service:
+            raise RequestError(ErrorKind.STALE_INCARNATION)
+        if not registration.is_serving:
+            raise RequestError(ErrorKind.STOPPING)
+        if self._identity.data_centre in self._routes.taken_out:
+            raise RequestError(ErrorKind.STOPPING, "taken out of service by operators")
+        if call.regions and self._identity.region not in call.regions:
+            raise RequestError(ErrorKind.STALE_INCARNATION, "in no region of the route")
+        if registration.is_suspect:
+            raise RequestError(
+                ErrorKind.BACKEND_UNREACHABLE, "waits for a health check"
+            )
+
+    def _send(self, call, source, deadline):
+        """Return the backend server's InstanceAnswer."""
+        instance = self._registration.instance
+        left = deadline - self._clock.read_monotonic()
+        headers = self._dialect.make_headers(call, instance, max(left, 0.001))
+        if call.more:
+            source.proceed()
+        request = InstanceRequest(
+            call.method,
+            call.path,
+            headers,
+            call.body,
+            call.length,
+            source.read if call.more else None,
+            call.idempotent,
+        )
+        try:
+            answer = self._client.send(
+                request,
+                lambda item: self._dialect.owns(item, call.caller_id),
+                deadline + DEADLINE_MARGIN_SECONDS,
+                source.watch,
+            )
+        except RequestError as error:
+            self._note_failure(error)
+            raise
+        self._judge(call, answer)
+        return answer
+
+    def _judge(self, call, answer):
+        """Learn from an answer; one that is none for the caller is refused."""
+        slowness = self._dialect.read_slowness(answer)
+        if slowness is not None:
+            self._slowness = slowness
+        if self._dialect.is_unrun(answer):
+            if self._dialect.is_other_process(answer):
+                self._registration.block("another process answered")
+                raise RequestError(ErrorKind.STALE_INCARNATION)
+            raise RequestError(ErrorKind.SERVER_SHED)
+        if not self._dialect.is_genuine(answer):
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the answer is not genuine")
+
+    def _hand_over(self, call, answer, sink):
+        """Record the answer and give it to the sink."""
+        headers = [
+            item for item in answer.headers if item[0].lower() not in HOP_HEADERS
+        ]
+        kept = None
+        if not call.idempotent and len(answer.body) <= KEPT_BODY_BYTES:
+            kept = KeptAnswer(answer.status, headers, answer.body)
+        self.ledger.finish(call.request_id, kept)
+        collector = PartCollector(sink, HOP_HEADERS, len(answer.body) + 1)
+        collector.take_head(answer.status, headers, len(answer.body))
+        if answer.body:
+            collector.take_body(answer.body)
+        collector.finish()
+
+    def _note_end(self, call, error):
+        """Record a request that got no answer."""
+        if error.answer.not_run:
+            self.ledger.withdraw(call.request_id)
+        elif error.kind is not ErrorKind.BACKEND_FAILED:
+            self.ledger.fail(call.request_id)
+
+    def _note_failure(self, error):
+        if error.kind is ErrorKind.BACKEND_UNREACHABLE:
+            self._registration.block("no connection")
+        elif error.kind is ErrorKind.OUTCOME_UNKNOWN:
+            now = self._clock.read_monotonic()
+            if now - self._checked_at > CHECK_GAP_SECONDS:
+                self._checked_at = now
+                self._registration.suspect(error.detail)
+
+    def _log_refusal(self, call, error):
+        room = self.room
+        self._log.info(
+            "call refused",
+            request_id=call.caller_id,
+            attempt=call.request_id,
+            kind=error.kind.value,
+            detail=error.detail,
+            in_flight=room.in_flight,
+            queued=room.queued,
+            limit=room.limit,
+        )
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -0,0 +1,228 @@
+"""A node whose routes and fleet are kept by a platform: wires the services."""
+
+import concurrent.futures
+import sys
+import threading
+
+from godwitrack.clock import SystemClock
+from godwitrack.kernel import Kernel
+from godwitrack.link import Authenticator
+from godwitrack.logs import find_logger
+from godwitrack_node.budget import ControlBudget
+from godwitrack_node.callers import Callers
+from godwitrack_node.dispatcher import Dispatcher
+from godwitrack_node.gate import Gate
+from godwitrack_node.hostports import HttpPort, ReadinessHandler
+from godwitrack_node.identity import Identity
+from godwitrack_node.linkpool import LinkPool
+from godwitrack_node.linkserver import LinkServer
+from godwitrack_node.news import News
+from godwitrack_node.pacing import RegionalPacer
+from godwitrack_node.placing import Placer
+from godwitrack_node.registration import Registration
+from godwitrack_node.requestcounts import RequestCounts
+from godwitrack_node.requestlog import RequestLog
+from godwitrack_node.retryshare import RetryShare
+from godwitrack_node.roster import Roster
+from godwitrack_node.routes import Routes
+from godwitrack_node.routing import Location
+from godwitrack_node.scheduler import Scheduler
+
+SWITCH_INTERVAL_SECONDS = 0.002
+THREADS = 2000
+CALLERS = 1500
+CONTROL_BYTES_PER_SECOND = 6000
+CONNECT_TIMEOUT_SECONDS = 0.3
+POLL_SECONDS = 0.02
+# Callers are sent elsewhere two missed questions, a second apart, after a stop begins.
+NOTICE_SECONDS = 2.6
+EXPIRE_LINKS_SECONDS = 5.0
+
+
+class HostedSettings:
+    """What a hosted node has to be told.
+
+    Attributes:
+        name: Name of the node.
+        service: Service of the backend server.
+        region: Name of the region.
+        data_centre: Name of the data centre.
+        callers: Address for callers.
+        links: Address for links of other nodes.
+        readiness: Address for the question whether the node is ready.
+        reports: Address for reports of the backend server.
+        metrics: Address for metrics, or None.
+        server: Address of the backend server.
+        report_seconds: Seconds between two reports of the backend server.
+        stop_seconds: Seconds allowed for a planned stop.
+        retry_limits: RetryLimits.
+        secret: Text that all nodes share.
+    """
+
+    __slots__ = (
+        "callers",
+        "data_centre",
+        "links",
+        "metrics",
+        "name",
+        "readiness",
+        "region",
+        "report_seconds",
+        "reports",
+        "retry_limits",
+        "secret",
+        "server",
+        "service",
+        "stop_seconds",
+    )
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class Adapter:
+    """The platform's side of a hosted node.
+
+    Attributes:
+        store: FeedStore.
+        operators_rows: OperatorsRow.
+        callers: RouteDialect.
+        server: ServerDialect.
+        reports: PortHandler for the reports of the backend server.
+    """
+
+    __slots__ = ("callers", "operators_rows", "reports", "server", "store")
+
+    def __init__(self, store, operators_rows, callers, server, reports):
+        self.store = store
+        self.operators_rows = operators_rows
+        self.callers = callers
+        self.server = server
+        self.reports = reports
+
+
+class HostedNode:
+    """One hosted node, from its settings to its end.
+
+    Attributes:
+        kernel: Kernel with all services.
+        identity: Identity of the node.
+    """
+
+    def __init__(self, settings, adapter, clock=None):
+        """Make all services without starting any.
+
+        Args:
+            settings: HostedSettings.
+            adapter: Adapter.
+            clock: Clock; the machine's by default.
+        """
+        self._clock = clock or SystemClock()
+        self._settings = settings
+        self._log = find_logger("node")
+        self._stop_asked = threading.Event()
+        self._hurry = threading.Event()
+        self._executor = concurrent.futures.ThreadPoolExecutor(THREADS, "godwitrack")
+        self._readiness = ReadinessHandler()
+        self.identity = Identity(
+            settings.name,
+            settings.service,
+            settings.region,
+            settings.data_centre,
+            int(self._clock.read_wall() * 1_000_000),
+        )
+        self.kernel = Kernel()
+        self._register(settings, adapter)
+
+    def start(self):
+        """Start all services."""
+        sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
+        self.kernel.start()
+        self._log.info(
+            "node started",
+            node=self.identity.name,
+            incarnation=self.identity.incarnation,
+            service=self.identity.service,
+            data_centre=self.identity.data_centre,
+        )
+
+    def ask_stop(self):
+        """Ask for a planned stop; asked again, for one without delay."""
+        if self._stop_asked.is_set():
+            self._hurry.set()
+        self._stop_asked.set()
+
+    def wait_stop(self, timeout=None):
+        """Wait until a stop is asked for; returns whether it was."""
+        return self._stop_asked.wait(timeout)
+
+    def stop(self):
+        """Finish the work in flight and stop; returns the requests cut off."""
+        self._log.info("node stopping", node=self.identity.name)
+        self._readiness.begin_stop()
+        for name in ("registration", "guard", "callers"):
+            self.kernel.find(name).begin_stop()
+        started = self._clock.read_monotonic()
+        self._hurry.wait(NOTICE_SECONDS)
+        self.kernel.find("callers").drain()
+        deadline = started + self._settings.stop_seconds
+        while self._count_work() and not self._hurry.wait(POLL_SECONDS):
+            if self._clock.read_monotonic() >= deadline:
+                break
+        cut = self._count_work()
+        self._log.info("node stopped", node=self.identity.name, requests_cut=cut)
+        self.kernel.stop()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        return cut
+
+    def _count_work(self):
+        guard = self.kernel.find("guard")
+        return guard.room.in_flight + self.kernel.find("metrics").active
+
+    def _register(self, settings, adapter):
+        clock, executor, identity = self._clock, self._executor, self.identity
+        authenticator = Authenticator(settings.secret, clock)
+        budget = ControlBudget(
+            clock, CONTROL_BYTES_PER_SECOND, CONTROL_BYTES_PER_SECOND
+        )
+        location = Location(identity.region, identity.data_centre)
+        own_address = str(settings.links)
+        roster = Roster(clock)
+        share = RetryShare(clock, settings.retry_limits, roster.count_nodes)
+        pool = LinkPool(clock, authenticator, CONNECT_TIMEOUT_SECONDS)
+        scheduler = Scheduler(clock, executor)
+        scheduler.add(EXPIRE_LINKS_SECONDS, pool.expire)
+        for service in (
+            scheduler,
+            RequestCounts(clock),
+            pool,
+            LinkServer(executor, settings.links, authenticator, budget),
+            roster,
+            News(clock, executor, adapter.store, own_address, location),
+            Routes(adapter.operators_rows),
+            RegionalPacer(clock),
+            Gate(clock, identity, settings.server, adapter.server),
+            Registration(
+                clock,
+                executor,
+                adapter.store,
+                identity,
+                own_address,
+                settings.server,
+                settings.report_seconds,
+            ),
+            Dispatcher(
+                clock,
+                executor,
+                identity,
+                adapter.callers,
+                Placer(identity.region, identity.data_centre),
+                share,
+            ),
+            RequestLog(clock, identity, 0.0),
+            HttpPort("reports", executor, settings.reports, adapter.reports),
+            Callers(executor, settings.callers, CALLERS, adapter.callers),
+            HttpPort("readiness", executor, settings.readiness, self._readiness),
+        ):
+            self.kernel.register(service)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/hostports.py
@@ -0,0 +1,143 @@
+"""Small HTTP ports of the node: readiness, reports of the backend server, metrics."""
+
+import abc
+
+from godwitrack.exceptions import CallerGone, RequestError
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack_node.httpserver import ConnectionServer, HttpConnection
+
+CONNECTIONS = 32
+MAX_BODY_BYTES = 64 * 1024
+
+
+class PortAnswer:
+    """An answer of a port.
+
+    Attributes:
+        status: HTTP status.
+        headers: List of pairs of texts.
+        body: Bytes.
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, body=b"", headers=()):
+        self.status = status
+        self.body = body
+        self.headers = list(headers)
+
+
+class PortHandler(abc.ABC):
+    """Answers the requests of one port."""
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+
+    @abc.abstractmethod
+    def answer(self, method, target, body):
+        """Return the PortAnswer to a request.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            body: Bytes.
+        """
+
+
+class HttpPort(Service):
+    """Serves one address with a PortHandler, one thread for each connection."""
+
+    def __init__(self, name, executor, address, handler):
+        """Prepare without listening.
+
+        Args:
+            name: Name of the service.
+            executor: concurrent.futures.Executor.
+            address: Address to listen on.
+            handler: PortHandler.
+        """
+        self._name = name
+        self._executor = executor
+        self._address = address
+        self._handler = handler
+        self._server = None
+        self._log = find_logger(name)
+
+    @property
+    def name(self):
+        """Name by which other services find this one."""
+        return self._name
+
+    @property
+    def address(self):
+        """(host, port) where it is served."""
+        return self._server.address
+
+    def connect(self, kernel):
+        """Let the handler find its collaborators."""
+        self._handler.connect(kernel)
+
+    def start(self):
+        """Bind the port and begin to serve."""
+        self._server = ConnectionServer(
+            self._executor, self._address, self._serve, CONNECTIONS
+        )
+        self._server.start()
+
+    def stop(self):
+        """Close the port and its connections."""
+        self._server.close()
+        self._server.interrupt()
+
+    def _serve(self, sock, remote):
+        connection = HttpConnection(sock)
+        try:
+            while self._serve_request(connection):
+                pass
+        except (RequestError, CallerGone) as error:
+            self._log.info("connection ended", remote=remote, error=str(error))
+
+    def _serve_request(self, connection):
+        request = connection.read_request()
+        if request is None:
+            return False
+        body = b""
+        while part := connection.read_body():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                return False
+        answer = self._handler.answer(request.method, request.target, body)
+        connection.start_answer(
+            answer.status,
+            answer.headers,
+            len(answer.body),
+            answer.body,
+            request.keep_alive,
+        )
+        return request.keep_alive
+
+
+class ReadinessHandler(PortHandler):
+    """Answers 200 while the node can serve callers, else 503."""
+
+    def __init__(self):
+        self._routes = None
+        self._roster = None
+        self._is_stopping = False
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        self._routes = kernel.find("configurations")
+        self._roster = kernel.find("roster")
+
+    def begin_stop(self):
+        """Answer 503 from now on."""
+        self._is_stopping = True
+
+    def answer(self, method, target, body):
+        """Return 200 or 503 to any request."""
+        is_ready = self._routes.is_ready and bool(self._roster.list_members())
+        if self._is_stopping or not is_ready:
+            return PortAnswer(503)
+        return PortAnswer(200)
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -2,16 +2,17 @@
 
 import collections
 import socket
+import time
 from http import HTTPStatus
 
 import httptools
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack.link import Watch
 from godwitrack.logs import find_logger
+from godwitrack.routetable import CallerLimits
 
-MAX_HEAD_BYTES = 64 * 1024
 RECEIVE_BYTES = 64 * 1024
-IDLE_TIMEOUT_SECONDS = 75.0
 READ_TIMEOUT_SECONDS = 20.0
 DISCARD_BYTES = 256 * 1024
 
@@ -31,6 +32,8 @@
     )
 )
 
+DEFAULT_LIMITS = CallerLimits()
+
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -70,11 +73,19 @@
 class HttpConnection:
     """One caller's connection; used by one thread."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, limits=DEFAULT_LIMITS):
+        """Take over an accepted socket.
+
+        Args:
+            sock: The socket.
+            limits: CallerLimits for what arrives.
+        """
         self._socket = sock
+        self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._events = collections.deque()
         self._head_bytes = 0
+        self._heads = 0
         self._in_head = True
         self._target = b""
         self._headers = []
@@ -83,6 +94,11 @@
         self._chunked = False
         self._answer_started = False
 
+    @property
+    def watch(self):
+        """A Watch that notices when the caller leaves."""
+        return Watch(self._socket)
+
     @property
     def is_answered(self):
         """Whether the head of the current request's answer was sent."""
@@ -96,11 +112,16 @@
         """
         self._answer_started = False
         self._body_done = False
-        timeout = IDLE_TIMEOUT_SECONDS
+        timeout = self._limits.idle_seconds
+        deadline = None
         while not self._events:
             if not self._receive(timeout):
+                if deadline is not None and time.monotonic() >= deadline:
+                    raise RequestError(ErrorKind.HEAD_TIMEOUT)
                 return None
-            timeout = READ_TIMEOUT_SECONDS
+            if deadline is None:
+                deadline = time.monotonic() + self._limits.header_seconds
+            timeout = max(deadline - time.monotonic(), 0.001)
         request = self._events.popleft()
         self._expects_continue = request.get("expect").lower() == "100-continue"
         return request
@@ -178,6 +199,7 @@
 
     def on_message_begin(self):
         """Begin a request; called by the parser."""
+        self._head_bytes = 0
         self._in_head = True
         self._target = b""
         self._headers = []
@@ -193,7 +215,8 @@
     def on_headers_complete(self):
         """Put the head of the request in the queue; called by the parser."""
         self._in_head = False
-        self._head_bytes = 0
+        self._heads += 1
+        self._head_bytes = self._count_head_bytes()
         length = 0
         for name, value in self._headers:
             if name == "transfer-encoding":
@@ -211,6 +234,10 @@
             )
         )
 
+    def _count_head_bytes(self):
+        size = len(self._target)
+        return size + sum(len(name) + len(value) + 4 for name, value in self._headers)
+
     def on_body(self, body):
         """Put a part of the body in the queue; called by the parser."""
         self._events.append(body)
@@ -228,12 +255,7 @@
             return False
         if not data:
             return False
-        if self._in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                raise RequestError(
-                    ErrorKind.BAD_REQUEST, "the head is larger than 64 KiB"
-                )
+        is_head_open, heads = self._in_head, self._heads
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -242,6 +264,10 @@
             ) from None
         except (httptools.HttpParserError, ValueError) as error:
             raise RequestError(ErrorKind.BAD_REQUEST, f"not HTTP: {error}") from None
+        if is_head_open and heads == self._heads:
+            self._head_bytes += len(data)
+        if self._head_bytes > self._limits.header_bytes:
+            raise RequestError(ErrorKind.HEAD_TOO_LARGE)
         return True
 
     def _frame(self, body):
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -10,7 +10,14 @@
 from godwitrack.kernel import Service
 from godwitrack.link import accept_link
 from godwitrack.logs import find_logger
-from godwitrack.messages import Call, Outcome, Query, Refused, check_headers
+from godwitrack.messages import (
+    Call,
+    Outcome,
+    Query,
+    Refused,
+    RoutedCall,
+    check_headers,
+)
 from godwitrack_node.exchange import LinkSource
 from godwitrack_node.httpserver import ConnectionServer
 from godwitrack_node.ledger import KeptAnswer
@@ -81,7 +88,7 @@
         session = Session()
         while True:
             message = link.receive(IDLE_SECONDS)
-            if type(message) is Call:
+            if type(message) in (Call, RoutedCall):
                 serve_call(self._guard, link, message)
             elif type(message) is Query:
                 serve_query(self._guard, link, message)
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/news.py
@@ -0,0 +1,193 @@
+"""News: follows the store's tables, directly or through other nodes."""
+
+import random
+import threading
+
+from godwitrack.exceptions import MessageError, StoreError
+from godwitrack.feed import FeedTable, HistoryLost
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack.messages import FeedAnswer, FeedRequest
+from godwitrack_node.feedreplica import FeedReplica
+from godwitrack_node.feedsources import (
+    MAX_AGE_SECONDS,
+    PeerSource,
+    SourceOrder,
+    StoreSource,
+    make_answer,
+)
+
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 1.5
+# Many nodes change the fleet's table at once when a data centre starts.
+COALESCE_SECONDS = {FeedTable.OPERATORS: 0.0, FeedTable.FLEET: 0.15}
+MAX_PEER_WAIT_MS = 5000
+
+
+class News(Service):
+    """Keeps a FeedReplica of each table and answers other nodes from it."""
+
+    name = "membership"
+
+    def __init__(self, clock, executor, store, own_address, location):
+        """Prepare without reading anything.
+
+        Args:
+            clock: Clock.
+            executor: concurrent.futures.Executor.
+            store: FeedStore.
+            own_address: "host:port" of the node's own links.
+            location: Location of the node.
+        """
+        self._clock = clock
+        self._executor = executor
+        self._store = StoreSource(store)
+        self._own_address = own_address
+        self._orders = {
+            table: SourceOrder(
+                clock, own_address, location.data_centre, location.region
+            )
+            for table in FeedTable
+        }
+        self._replicas = {table: FeedReplica(clock) for table in FeedTable}
+        self._listeners = {table: [] for table in FeedTable}
+        self._callers = set()
+        self._stopped = threading.Event()
+        self._pool = None
+        self._roster = None
+        self._rng = random.Random()
+        self._log = find_logger("news")
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        self._pool = kernel.find("link-pool")
+        self._roster = kernel.find("roster")
+
+    def start(self):
+        """Begin to follow each table."""
+        for table in FeedTable:
+            self._executor.submit(self._follow, table)
+
+    def stop(self):
+        """Follow nothing more."""
+        self._stopped.set()
+
+    def find_replica(self, table):
+        """Return the FeedReplica of a FeedTable."""
+        return self._replicas[table]
+
+    def add_listener(self, table, listener):
+        """Call listener() after each change of a FeedTable."""
+        self._listeners[table].append(listener)
+
+    def hint(self, address, revision):
+        """Note that a node may know a later revision of the operators' table."""
+        if revision > self._replicas[FeedTable.OPERATORS].version:
+            self._executor.submit(self._pull, address)
+
+    def can_reach(self, address):
+        """Tell whether another node answers; it learns of this one thereby."""
+        source = PeerSource(self._pool, address, self._own_address)
+        replica = self._replicas[FeedTable.OPERATORS]
+        try:
+            source.read(FeedTable.OPERATORS, replica.version, 0.0)
+        except StoreError as error:
+            self._log.debug("peer not reached", peer=address, error=str(error))
+            return False
+        return True
+
+    def answer(self, message, session):
+        """Return the answer to a FeedRequest of another node.
+
+        Raises:
+            MessageError: The message is of another type, or nothing is known yet.
+        """
+        if type(message) is not FeedRequest or message.table not in set(FeedTable):
+            raise MessageError(f"{type(message).__name__} is not expected here")
+        table = FeedTable(message.table)
+        if self._replicas[table].version < 0 and message.sender:
+            # A node that just started learns through those that look for it.
+            self._callers.add(message.sender)
+        wait = min(max(message.wait_ms, 0), MAX_PEER_WAIT_MS) / 1000
+        page = self._replicas[table].read(message.after, wait)
+        if page is None:
+            return FeedAnswer(int(table), [], -1, False, 0)
+        return make_answer(table, page)
+
+    def _follow(self, table):
+        pause = FIRST_PAUSE_SECONDS
+        while not self._stopped.is_set():
+            address = self._choose(table)
+            try:
+                has_changed = self._read(table, address)
+            except HistoryLost:
+                self._log.info("history lost", table=table.name)
+                continue
+            except StoreError as error:
+                self._note_failure(table, address, error)
+                self._stopped.wait(pause * (0.5 + self._rng.random()))
+                pause = min(pause * 2, MAX_PAUSE_SECONDS)
+                continue
+            except Exception:
+                self._log.exception("following failed", table=table.name)
+                self._stopped.wait(MAX_PAUSE_SECONDS)
+                continue
+            pause = FIRST_PAUSE_SECONDS
+            if has_changed:
+                self._stopped.wait(COALESCE_SECONDS[table])
+
+    def _choose(self, table):
+        members = [
+            view.member
+            for view in map(self._roster.find_view, self._list_addresses())
+            if view is not None and not view.is_down
+        ]
+        if not members and self._replicas[table].version < 0 and self._callers:
+            return self._rng.choice(["", *self._callers])
+        return self._orders[table].list_candidates(members)[0]
+
+    def _list_addresses(self):
+        return [member.address for member in self._roster.list_members()]
+
+    def _read(self, table, address):
+        """Read from one source; returns whether anything changed."""
+        replica = self._replicas[table]
+        after = replica.version
+        if address:
+            source = PeerSource(self._pool, address, self._own_address)
+            page = source.read(table, after)
+            if page.version < after or page.age > MAX_AGE_SECONDS[table]:
+                raise StoreError(f"{address} is behind")
+        else:
+            try:
+                page = self._store.read(table, after)
+            except HistoryLost:
+                page = self._store.read(table, -1)
+        return self._merge(table, page)
+
+    def _merge(self, table, page):
+        if not self._replicas[table].merge(page):
+            return False
+        for listener in self._listeners[table]:
+            listener()
+        return True
+
+    def _pull(self, address):
+        source = PeerSource(self._pool, address, self._own_address)
+        table = FeedTable.OPERATORS
+        try:
+            page = source.read(table, self._replicas[table].version, 0.0)
+        except StoreError as error:
+            self._log.info("pull failed", peer=address, error=str(error))
+            return
+        if page.version >= 0:
+            self._merge(table, page)
+
+    def _note_failure(self, table, address, error):
+        self._orders[table].skip(address)
+        self._log.info(
+            "source failed",
+            table=table.name,
+            source=address or "store",
+            error=str(error),
+        )
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -0,0 +1,375 @@
+"""Registration: what the node knows and tells of the backend server beside it."""
+
+import random
+import threading
+
+from godwitrack.exceptions import RequestError, StoreError
+from godwitrack.feed import FeedTable, RowConflict
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack_node.placing import Member
+from godwitrack_node.roster import read_member, write_member
+
+HEALTH_SECONDS = 1.0
+HEALTH_TIMEOUT_SECONDS = 0.5
+SUSPECT_PROBE_SECONDS = 0.25
+TICK_SECONDS = 0.05
+MISSED_REPORTS = 3
+ACK_WAIT_SECONDS = 0.6
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 1.5
+COLD_MARGIN_SECONDS = 0.2
+
+
+class Report:
+    """What the backend server says of itself.
+
+    Attributes:
+        instance: Id of its process.
+        born: Unix milliseconds of the process's start.
+        sequence: Number that grows with each report of a process.
+        service: Name of its service.
+        address: "host:port" where it serves.
+        slots: Requests that it works on at once.
+        is_leaving: Whether it takes no new work.
+        cold_seconds: Seconds for which its cold start still lasts.
+    """
+
+    __slots__ = (
+        "address",
+        "born",
+        "cold_seconds",
+        "instance",
+        "is_leaving",
+        "sequence",
+        "service",
+        "slots",
+    )
+
+    def __init__(
+        self, instance, born, sequence, service, address, slots, is_leaving, cold
+    ):
+        self.instance = instance
+        self.born = born
+        self.sequence = sequence
+        self.service = service
+        self.address = address
+        self.slots = slots
+        self.is_leaving = is_leaving
+        self.cold_seconds = cold
+
+
+class Health:
+    """Answer of the backend server to a health check.
+
+    Attributes:
+        instance: Id of its process, or "" where it does not say.
+        is_healthy: Whether it takes work.
+        cold_seconds: Seconds for which its cold start still lasts, or None.
+        slowness: How long work takes now, in percent of the usual time, or None.
+        slots: Requests that it works on at once, or 0 where it does not say.
+    """
+
+    __slots__ = ("cold_seconds", "instance", "is_healthy", "slots", "slowness")
+
+    def __init__(self, instance, is_healthy, cold_seconds, slowness, slots):
+        self.slots = slots
+        self.instance = instance
+        self.is_healthy = is_healthy
+        self.cold_seconds = cold_seconds
+        self.slowness = slowness
+
+
+class Registration(Service):
+    """Keeps the state of the backend server and the node's row in the store.
+
+    Attributes:
+        instance: Id of the backend server's process, or "".
+        is_suspect: Whether its state has to be checked before it gets new work.
+    """
+
+    name = "registration"
+
+    def __init__(self, clock, executor, store, identity, own_address, address, beat):
+        """Prepare without a backend server.
+
+        Args:
+            clock: Clock.
+            executor: concurrent.futures.Executor.
+            store: FeedStore.
+            identity: Identity of the node.
+            own_address: "host:port" of the node's own links.
+            address: Address of the backend server.
+            beat: Seconds between two reports of the backend server.
+        """
+        self._clock = clock
+        self._executor = executor
+        self._store = store
+        self._identity = identity
+        self._own_address = own_address
+        self._address = str(address)
+        self._silent_after = MISSED_REPORTS * beat
+        self._lock = threading.Lock()
+        self._changed = threading.Event()
+        self._written = threading.Condition()
+        self._stopped = threading.Event()
+        self._replica = None
+        self._routes = None
+        self._guard = None
+        self._born = -1
+        self._sequence = -1
+        self._slots = 1
+        self._is_leaving = False
+        self._left = set()
+        self._cold_until = 0.0
+        self._heard_at = None
+        self._probed_at = 0.0
+        self._is_stopping = False
+        self._rng = random.Random()
+        self._log = find_logger("registration")
+        self.instance = ""
+        self.is_suspect = True
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        news = kernel.find("membership")
+        self._replica = news.find_replica(FeedTable.FLEET)
+        news.add_listener(FeedTable.FLEET, self._check_row)
+        self._routes = kernel.find("configurations")
+        self._routes.add_listener(self._note_taken_out)
+        self._guard = kernel.find("guard")
+
+    def start(self):
+        """Begin to check the backend server and to write the row."""
+        self._executor.submit(self._watch)
+        self._executor.submit(self._write_rows)
+
+    def stop(self):
+        """Check and write nothing more."""
+        self._stopped.set()
+        self._changed.set()
+
+    @property
+    def is_serving(self):
+        """Whether the backend server takes new work."""
+        return bool(self.instance) and not self._is_leaving and not self._is_stopping
+
+    @property
+    def slots(self):
+        """Requests that the backend server works on at once."""
+        return self._slots
+
+    def find_cold_rate(self):
+        """Return the requests a second that it bears now, or None when warm."""
+        if self._clock.read_monotonic() >= self._cold_until:
+            return None
+        limits = self._routes.find_limits(self._identity.service)
+        return limits.warmup_rate if limits is not None else 1.0
+
+    def take_report(self, report):
+        """Take a Report; returns whether it is the newest of its process."""
+        with self._lock:
+            if (report.born, report.sequence) <= (self._born, self._sequence):
+                return False
+            if report.service != self._identity.service:
+                self._log.warning("report of another service", service=report.service)
+                return False
+            if report.address != self._address or report.instance in self._left:
+                return False
+            is_new = report.born > self._born
+            self._born, self._sequence = report.born, report.sequence
+            self._heard_at = self._clock.read_monotonic()
+            self._slots = report.slots
+            self._set_cold(report.cold_seconds)
+            changed = (self.instance, self._is_leaving) != (
+                report.instance,
+                report.is_leaving,
+            )
+            self.instance, self._is_leaving = report.instance, report.is_leaving
+        if is_new:
+            self.is_suspect = False
+        if is_new or changed:
+            self._note_change("report", sequence=report.sequence)
+            if report.is_leaving:
+                self._wait_written()
+        self._guard.configure(self._slots, self.find_cold_rate())
+        return True
+
+    def take_leave(self, instance):
+        """Note that a process of the backend server leaves for good."""
+        with self._lock:
+            self._left.add(instance)
+            if instance != self.instance and self.instance:
+                return
+            self.instance, self._is_leaving = instance, True
+        self._note_change("leave")
+        self._wait_written()
+
+    def suspect(self, reason):
+        """Note that the backend server may have been replaced or turned cold."""
+        limits = self._routes.find_limits(self._identity.service)
+        if limits is not None:
+            self._set_cold(limits.warmup_seconds)
+            self._guard.configure(self._slots, self.find_cold_rate())
+        self._probed_at = 0.0
+        self._log.info("backend server suspected", reason=reason)
+
+    def block(self, reason):
+        """Give the backend server no work before a health check passes."""
+        self.is_suspect = True
+        self.suspect(reason)
+
+    def begin_stop(self):
+        """Remove the node's row, so that other nodes send nothing more."""
+        self._is_stopping = True
+        self._note_change("stop")
+
+    def _set_cold(self, seconds):
+        now = self._clock.read_monotonic()
+        self._cold_until = now + seconds + COLD_MARGIN_SECONDS if seconds > 0 else 0.0
+
+    def _note_change(self, cause, **values):
+        self._log.info(
+            "backend server",
+            cause=cause,
+            instance=self.instance,
+            serving=self.is_serving,
+            cold_rate=self.find_cold_rate(),
+            **values,
+        )
+        self._changed.set()
+
+    def _note_taken_out(self, before, after):
+        own = self._identity.data_centre
+        if own in before and own not in after:
+            self.block("data centre is back")
+
+    def _wait_written(self):
+        """Wait a moment for the row, so that a restart of the node knows it too."""
+        with self._written:
+            self._written.wait_for(self._is_written, ACK_WAIT_SECONDS)
+
+    def _is_written(self):
+        row = self._replica.find(self._own_address)
+        if self._is_stopping or row is None:
+            return self._is_stopping and row is None
+        held = read_member(row)
+        return held is not None and held.is_like(self._make_member())
+
+    def _check_row(self):
+        with self._written:
+            self._written.notify_all()
+        if not self._is_written():
+            self._changed.set()
+
+    def _make_member(self):
+        return Member(
+            self._own_address,
+            self._identity.service,
+            self._identity.region,
+            self._identity.data_centre,
+            self._slots,
+            self.is_serving,
+            self.instance,
+            self._identity.incarnation,
+        )
+
+    def _watch(self):
+        while not self._stopped.wait(TICK_SECONDS):
+            try:
+                self._check_health()
+            except Exception:
+                self._log.exception("health check failed")
+
+    def _check_health(self):
+        now = self._clock.read_monotonic()
+        interval = SUSPECT_PROBE_SECONDS if self.is_suspect else HEALTH_SECONDS
+        if now - self._probed_at < interval or not self._routes.is_ready:
+            return
+        self._probed_at = now
+        try:
+            health = self._guard.check_health(now + HEALTH_TIMEOUT_SECONDS)
+        except RequestError as error:
+            if not self.is_suspect:
+                self.block(f"health check: {error}")
+            self._note_silence(now)
+            return
+        self._take_health(health, now)
+
+    def _take_health(self, health, now):
+        if not health.is_healthy:
+            return
+        if not self.instance and health.slots and health.instance not in self._left:
+            self._adopt(health)
+        if health.instance != self.instance:
+            self.is_suspect = True
+            return
+        self._heard_at = now
+        self._set_cold(health.cold_seconds or 0.0)
+        if self.is_suspect:
+            self._log.info("backend server is back", instance=self.instance)
+        self.is_suspect = False
+        self._guard.configure(self._slots, self.find_cold_rate())
+        if health.slowness is not None:
+            self._guard.take_slowness(health.slowness)
+
+    def _adopt(self, health):
+        """Take over a process that is healthy before its next report."""
+        instance = health.instance
+        row = self._replica.find(self._own_address)
+        held = read_member(row) if row is not None else None
+        if held is not None and held.instance == instance and not held.is_serving:
+            # It began to leave before the node was started again.
+            return
+        self._slots = health.slots
+        self.instance = instance
+        self._note_change("adopted")
+
+    def _note_silence(self, now):
+        if not self.instance or self._heard_at is None:
+            return
+        if now - self._heard_at > self._silent_after:
+            self.instance = ""
+            self._note_change("silent")
+
+    def _write_rows(self):
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            self._changed.wait()
+            if self._stopped.is_set():
+                return
+            self._changed.clear()
+            if self._replica.version < 0 or self._is_written() or not self.instance:
+                self._stopped.wait(FIRST_PAUSE_SECONDS)
+                if self._replica.version < 0:
+                    self._changed.set()
+                continue
+            try:
+                self._write_row()
+                pause = FIRST_PAUSE_SECONDS
+            except StoreError as error:
+                self._log.info("row not written", error=str(error))
+                self._stopped.wait(pause * (0.5 + self._rng.random()))
+                pause = min(pause * 2, MAX_PAUSE_SECONDS)
+                self._changed.set()
+            except Exception:
+                self._log.exception("row not written")
+                self._stopped.wait(MAX_PAUSE_SECONDS)
+                self._changed.set()
+
+    def _write_row(self):
+        row = self._replica.find(self._own_address)
+        value = None if self._is_stopping else write_member(self._make_member())
+        expected = row.version if row is not None else 0
+        try:
+            version = self._store.write_row(
+                FeedTable.FLEET, self._own_address, value, expected
+            )
+        except RowConflict as conflict:
+            held = conflict.row.value if conflict.row is not None else None
+            if held != value:
+                raise
+            version = conflict.row.version if conflict.row is not None else 0
+        self._log.info("row written", version=version, serving=self.is_serving)
+        with self._written:
+            self._written.notify_all()
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/retryshare.py
@@ -0,0 +1,71 @@
+"""This node's share of the retries that all nodes together may send to a service.
+
+Load pattern: a service whose backend servers fail. Retries of all nodes together
+stay under a share of the requests of a sliding window, without any talk about it.
+"""
+
+import collections
+import threading
+
+# The window slides, and requests count where they arrive, so some is left over.
+SAFETY = 0.6
+
+
+class RetryLimits:
+    """What all nodes together may send again.
+
+    Attributes:
+        ratio: Retries for each request.
+        window: Length of the window in seconds.
+        slack: Retries of all nodes beyond the ratio in one window.
+    """
+
+    __slots__ = ("ratio", "slack", "window")
+
+    def __init__(self, ratio, window, slack):
+        self.ratio = ratio
+        self.window = window
+        self.slack = slack
+
+
+class RetryShare:
+    """Counts requests and retries of a window for each service."""
+
+    def __init__(self, clock, limits, count_nodes):
+        """Prepare with no requests seen.
+
+        Args:
+            clock: Clock.
+            limits: RetryLimits.
+            count_nodes: Function that returns the number of nodes.
+        """
+        self._clock = clock
+        self._limits = limits
+        self._count_nodes = count_nodes
+        self._lock = threading.Lock()
+        self._requests = {}
+        self._retries = {}
+
+    def note_request(self, service):
+        """Count the first attempt of a request."""
+        with self._lock:
+            self._count(self._requests, service).append(self._clock.read_monotonic())
+
+    def withdraw(self, service):
+        """Take one retry; returns whether there was one."""
+        limits = self._limits
+        with self._lock:
+            requests = len(self._count(self._requests, service))
+            retries = self._count(self._retries, service)
+            slack = limits.slack / max(self._count_nodes(), 1)
+            if len(retries) + 1 > SAFETY * (requests * limits.ratio + slack):
+                return False
+            retries.append(self._clock.read_monotonic())
+            return True
+
+    def _count(self, table, service):
+        moments = table.setdefault(service, collections.deque())
+        oldest = self._clock.read_monotonic() - self._limits.window
+        while moments and moments[0] < oldest:
+            moments.popleft()
+        return moments
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/routes.py
@@ -0,0 +1,114 @@
+"""The routes in force, and what operators have taken out of service."""
+
+import abc
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.feed import FeedTable
+from godwitrack.kernel import Service
+from godwitrack.logs import find_logger
+from godwitrack.routetable import CallerLimits
+
+
+class OperatorsRow(abc.ABC):
+    """Reads the rows that operators write, whose format is the platform's."""
+
+    @abc.abstractmethod
+    def read_routes(self, row):
+        """Return the RouteTable of a FeedRow, or None where it holds none."""
+
+    @abc.abstractmethod
+    def read_take_out(self, row):
+        """Return the data centre that a FeedRow takes out, or None."""
+
+
+class Routes(Service):
+    """Holds the newest RouteTable, which never goes back to an older one."""
+
+    name = "configurations"
+
+    def __init__(self, reader):
+        """Take the OperatorsRow that reads the rows."""
+        self._reader = reader
+        self._replica = None
+        self._listeners = []
+        self._table = None
+        self._versions = {}
+        self._log = find_logger("routes")
+        self.taken_out = frozenset()
+
+    def connect(self, kernel):
+        """Listen to changes of the operators' table."""
+        news = kernel.find("membership")
+        self._replica = news.find_replica(FeedTable.OPERATORS)
+        news.add_listener(FeedTable.OPERATORS, self._refresh)
+
+    def add_listener(self, listener):
+        """Call listener(before, after) with the data centres taken out."""
+        self._listeners.append(listener)
+
+    @property
+    def revision(self):
+        """Version of the operators' table up to which everything is known."""
+        return max(self._replica.version, 0)
+
+    @property
+    def is_ready(self):
+        """Whether routes are known."""
+        return self._table is not None
+
+    @property
+    def limits(self):
+        """CallerLimits in force."""
+        return self._table.limits if self._table is not None else CallerLimits()
+
+    @property
+    def table(self):
+        """RouteTable in force, or None."""
+        return self._table
+
+    def read(self):
+        """Return the RouteTable in force.
+
+        Raises:
+            RequestError: NOT_READY.
+        """
+        if self._table is None:
+            raise RequestError(ErrorKind.NOT_READY)
+        return self._table
+
+    def find_limits(self, service):
+        """Return the ServiceLimits of a service, or None."""
+        return self._table.services.get(service) if self._table is not None else None
+
+    def _refresh(self):
+        taken_out = set()
+        for row in self._replica.list_rows():
+            data_centre = self._reader.read_take_out(row)
+            if data_centre is not None:
+                taken_out.add(data_centre)
+                continue
+            self._take_routes(row)
+        before, self.taken_out = self.taken_out, frozenset(taken_out)
+        if before != self.taken_out:
+            self._log.info(
+                "data centres taken out",
+                data_centres=sorted(taken_out),
+                version=self._replica.version,
+            )
+        for listener in self._listeners:
+            listener(before, self.taken_out)
+
+    def _take_routes(self, row):
+        if self._versions.get(row.key) == row.version:
+            return
+        self._versions[row.key] = row.version
+        table = self._reader.read_routes(row)
+        if table is None:
+            return
+        if self._table is not None and table.revision < self._table.revision:
+            self._log.warning("older routes ignored", revision=table.revision)
+            return
+        self._table = table
+        self._log.info(
+            "routes in force", revision=table.revision, routes=len(table.routes)
+        )
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -0,0 +1,273 @@
+"""Which requests run at the backend server now, wait for it, or are turned away.
+
+Load pattern: a burst beyond what the backend server works on well. It gets no more
+than that at once; a short queue here goes by urgency, and what would wait too long
+is refused when it arrives, so that its entry can try another server in time.
+"""
+
+import collections
+import threading
+
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+
+LIMIT_SHARE = 0.85
+WAIT_SHARE = 0.5
+PRIORITY_STEP_SHARE = 0.1
+SERVICE_WEIGHT = 0.1
+INITIAL_SERVICE_SECONDS = 0.05
+CHECK_SECONDS = 0.025
+# A request must have this share of the usual service time left to be worth a try.
+MIN_SERVICE_SHARE = 0.5
+COLD_WINDOW_SECONDS = 1.0
+# Requests sent within a window may arrive a little closer together.
+COLD_WINDOW_MARGIN_SECONDS = 0.1
+
+
+class Entrant:
+    """A request that asks to run.
+
+    Attributes:
+        priority: Rank, 0 for the most urgent.
+        is_nested: Whether a request that already runs waits for it.
+        is_return: Whether its caller was refused before.
+        objective: Time within which its answer is worth most, in seconds.
+        deadline: Monotonic time after which nobody waits for it, in seconds.
+        arrived_at: Monotonic time of its arrival.
+        started_at: Monotonic time at which it was let through, or None.
+        refusal: ErrorKind if it was refused, or None.
+    """
+
+    __slots__ = (
+        "_decided",
+        "arrived_at",
+        "deadline",
+        "is_nested",
+        "is_return",
+        "objective",
+        "priority",
+        "refusal",
+        "started_at",
+    )
+
+    def __init__(self, priority, objective, deadline, is_nested=False, is_return=False):
+        self.priority = priority
+        self.objective = objective
+        self.deadline = deadline
+        self.is_nested = is_nested
+        self.is_return = is_return
+        self.arrived_at = 0.0
+        self.started_at = None
+        self.refusal = None
+        self._decided = threading.Event()
+
+    @property
+    def order(self):
+        """Sort key by which waiting requests start, lowest first."""
+        step = self.priority * PRIORITY_STEP_SHARE * self.objective
+        return (not self.is_nested, not self.is_return, self.arrived_at + step)
+
+    @property
+    def wait_until(self):
+        """Monotonic time at which it has waited for long enough."""
+        return min(self.arrived_at + WAIT_SHARE * self.objective, self.deadline)
+
+    def decide(self):
+        """Wake the thread that waits."""
+        self._decided.set()
+
+    def wait(self, timeout):
+        """Wait for the decision; returns whether there is one."""
+        return self._decided.wait(timeout)
+
+
+class ColdCap:
+    """Limits the requests that reach a cold backend server in any second."""
+
+    def __init__(self):
+        self._starts = collections.deque()
+
+    def allows(self, rate, now):
+        """Tell whether one more request may start.
+
+        Args:
+            rate: Requests a second.
+            now: Monotonic time in seconds.
+        """
+        self._expire(now)
+        return len(self._starts) < max(int(rate * COLD_WINDOW_SECONDS), 1)
+
+    def note(self, now):
+        """Count a request that starts; warm ones count too, as it may cool down."""
+        self._starts.append(now)
+        self._expire(now)
+
+    def _expire(self, now):
+        oldest = now - COLD_WINDOW_SECONDS - COLD_WINDOW_MARGIN_SECONDS
+        while self._starts and self._starts[0] <= oldest:
+            self._starts.popleft()
+
+
+class WaitingRoom:
+    """Decides about requests; all methods may be called from any thread."""
+
+    def __init__(self, clock, slots=1):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._queue = []
+        self._running = 0
+        self._slots = slots
+        self._service_seconds = INITIAL_SERVICE_SECONDS
+        self._is_closed = False
+        self._cold_rate = None
+        self._cap = ColdCap()
+
+    @property
+    def in_flight(self):
+        """Requests running at the backend server."""
+        return self._running
+
+    @property
+    def queued(self):
+        """Requests waiting."""
+        return len(self._queue)
+
+    @property
+    def limit(self):
+        """Most requests that may run at once."""
+        return max(int(self._slots * LIMIT_SHARE), 1)
+
+    def configure(self, slots, cold_rate):
+        """Set what the backend server bears.
+
+        Args:
+            slots: Requests that it works on at once.
+            cold_rate: Requests a second while it is cold, or None.
+        """
+        with self._lock:
+            self._slots = slots
+            self._cold_rate = cold_rate
+            started = self._start_waiting()
+        _wake(started)
+
+    def close(self, kind):
+        """Refuse all that wait, as not run.
+
+        Args:
+            kind: ErrorKind for them.
+        """
+        with self._lock:
+            waiting, self._queue = self._queue, []
+            for entrant in waiting:
+                entrant.refusal = kind
+        _wake(waiting)
+
+    def acquire(self, entrant, watch=None):
+        """Let a request through, after a wait where need be.
+
+        Args:
+            entrant: Entrant.
+            watch: Watch of the caller's connection, or None.
+
+        Raises:
+            RequestError: It is refused and did not run.
+            CallerGone: The caller left while it waited.
+        """
+        if self._offer(entrant):
+            return
+        while not entrant.wait(CHECK_SECONDS):
+            if watch is not None and watch.fileno() >= 0 and watch.is_gone():
+                if self._withdraw(entrant):
+                    raise CallerGone("the caller left the queue")
+            self._review(entrant)
+        if entrant.refusal is not None:
+            raise RequestError(entrant.refusal)
+
+    def release(self, entrant, is_answered):
+        """Give the place of a request back and let waiting ones through.
+
+        Args:
+            entrant: Entrant that was let through.
+            is_answered: Whether the backend server gave an answer.
+        """
+        now = self._clock.read_monotonic()
+        with self._lock:
+            self._running -= 1
+            if is_answered:
+                change = now - entrant.started_at - self._service_seconds
+                self._service_seconds += SERVICE_WEIGHT * change
+            started = self._start_waiting()
+        _wake(started)
+
+    def _offer(self, entrant):
+        """Decide about a new request; returns whether it may run at once."""
+        now = self._clock.read_monotonic()
+        entrant.arrived_at = now
+        with self._lock:
+            if not self._queue and self._has_place(now):
+                self._start(entrant, now)
+                return True
+            self._check_wait(entrant, now)
+            self._queue.append(entrant)
+            self._queue.sort(key=_read_order)
+            started = self._start_waiting()
+        _wake(started)
+        return False
+
+    def _check_wait(self, entrant, now):
+        """Refuse a request that would wait for too long."""
+        ahead = sum(item.order <= entrant.order for item in self._queue)
+        wait = (ahead + 1) * self._service_seconds / self.limit
+        if self._cold_rate is not None:
+            wait = max(wait, (ahead + 1) / self._cold_rate)
+        if now + wait > entrant.wait_until:
+            raise RequestError(ErrorKind.SERVER_BUSY)
+
+    def _has_place(self, now):
+        if self._running >= self.limit:
+            return False
+        return self._cold_rate is None or self._cap.allows(self._cold_rate, now)
+
+    def _start(self, entrant, now):
+        entrant.started_at = now
+        self._running += 1
+        self._cap.note(now)
+
+    def _start_waiting(self):
+        now = self._clock.read_monotonic()
+        decided = []
+        while self._queue and self._has_place(now):
+            entrant = self._queue.pop(0)
+            decided.append(entrant)
+            need = MIN_SERVICE_SHARE * self._service_seconds
+            if entrant.deadline - now < need:
+                entrant.refusal = ErrorKind.SERVER_BUSY
+            else:
+                self._start(entrant, now)
+        return decided
+
+    def _review(self, entrant):
+        """Refuse a request that has waited for long, or start what may start."""
+        now = self._clock.read_monotonic()
+        with self._lock:
+            started = self._start_waiting()
+            if entrant in self._queue and now >= entrant.wait_until:
+                self._queue.remove(entrant)
+                entrant.refusal = ErrorKind.SERVER_BUSY
+                started.append(entrant)
+        _wake(started)
+
+    def _withdraw(self, entrant):
+        with self._lock:
+            if entrant not in self._queue:
+                return False
+            self._queue.remove(entrant)
+            return True
+
+
+def _read_order(entrant):
+    return entrant.order
+
+
+def _wake(entrants):
+    for entrant in entrants:
+        entrant.decide()
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -141,7 +141,7 @@
         assert type(message) is Chunk
         self.sent.append(message)
 
-    def receive(self, timeout=None):
+    def receive(self, timeout=None, watch=None):
         return self._answers.pop(0)
 
 
