--- /dev/null
+++ b/tests/test_feedreplica.py
@@ -0,0 +1,148 @@
+"""Tests of godwitrack_node.feedreplica and godwitrack_node.feedsources."""
+
+import pytest
+
+from godwitrack.exceptions import StoreError
+from godwitrack.feed import FeedPage, FeedRow, FeedTable
+from godwitrack.messages import FeedAnswer, decode_message
+from godwitrack_node.feedreplica import FeedReplica
+from godwitrack_node.feedsources import SourceOrder, make_answer, read_answer
+from godwitrack_node.placing import Member
+
+
+def make_page(rows, version, is_whole=False, age=0.0):
+    return FeedPage([FeedRow(*row) for row in rows], version, is_whole, age)
+
+
+def read_content(replica):
+    return {row.key: row.value for row in replica.list_rows()}
+
+
+@pytest.mark.parametrize(
+    ("pages", "expected"),
+    [
+        ([make_page([("a", 1, b"1")], 1, True)], {"a": b"1"}),
+        (
+            [make_page([("a", 1, b"1")], 1, True), make_page([("a", 2, None)], 2)],
+            {},
+        ),
+        # An older page from a slow source changes nothing.
+        (
+            [make_page([("a", 5, b"5")], 5, True), make_page([("a", 3, b"3")], 3)],
+            {"a": b"5"},
+        ),
+        # A whole page removes what it does not list.
+        (
+            [
+                make_page([("a", 1, b"1"), ("b", 2, b"2")], 2, True),
+                make_page([("b", 2, b"2")], 9, True),
+            ],
+            {"b": b"2"},
+        ),
+        # A removal is not undone by an older row.
+        (
+            [
+                make_page([("a", 1, b"1")], 1, True),
+                make_page([("a", 4, None)], 4),
+                make_page([("a", 2, b"2")], 4),
+            ],
+            {},
+        ),
+    ],
+    ids=range(5),
+)
+def test_the_newest_rows_stay(clock, pages, expected):
+    replica = FeedReplica(clock)
+    for page in pages:
+        replica.merge(page)
+    assert read_content(replica) == expected
+
+
+@pytest.mark.parametrize(
+    ("after", "known"),
+    [
+        (-1, []),
+        (1, [("a", 1, b"1")]),
+        (3, [("a", 1, b"1"), ("b", 3, b"3")]),
+        (4, [("a", 1, b"1")]),
+        (6, [("a", 1, b"1"), ("c", 6, b"6")]),
+    ],
+)
+def test_a_reader_gets_all_that_it_lacks(clock, after, known):
+    source = FeedReplica(clock)
+    source.merge(make_page([("a", 1, b"1"), ("b", 3, b"3")], 3, True))
+    source.merge(make_page([("b", 4, None), ("c", 6, b"6")], 6))
+    reader = FeedReplica(clock)
+    if after >= 0:
+        reader.merge(make_page([("a", 1, b"1"), ("b", 2, b"2")], after, True))
+    page = source.read(after, 0.0)
+    answer = decode_message(make_answer(FeedTable.FLEET, page).encode())
+    reader.merge(read_answer(answer))
+    assert read_content(reader) == {"a": b"1", "c": b"6"}
+    assert reader.version == 6
+
+
+def test_age_tells_when_the_store_confirmed_the_content(clock):
+    replica = FeedReplica(clock)
+    assert replica.age is None
+    replica.merge(make_page([], 1, True, age=2.0))
+    clock.advance(1.0)
+    assert replica.age == pytest.approx(3.0)
+    replica.merge(make_page([], 1, False, age=0.5))
+    assert replica.age == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize(
+    "row", [["a"], ["a", 1], ["a", "1", b""], ["a", 1, "text"], "a", [1, 1, b""]]
+)
+def test_rows_of_another_shape_are_an_error(row):
+    with pytest.raises(StoreError):
+        read_answer(FeedAnswer(int(FeedTable.FLEET), [row], 1, False, 0))
+
+
+def make_member(address, data_centre, region):
+    return Member(address, "scenbok", region, data_centre, 10, True, "i", 1)
+
+
+MEMBERS = [
+    make_member(f"10.0.{place}.{number}:7000", f"dc-{place}", f"region-{place // 2}")
+    for place in range(4)
+    for number in range(5)
+]
+
+
+def list_orders(clock, members):
+    return {
+        member.address: SourceOrder(
+            clock, member.address, member.data_centre, member.region
+        ).list_candidates(members)
+        for member in members
+    }
+
+
+def test_one_node_of_each_data_centre_asks_the_store(clock):
+    orders = list_orders(clock, MEMBERS)
+    leaders = {address for address, order in orders.items() if order[0] == ""}
+    assert len(leaders) == 4
+    for member in MEMBERS:
+        if member.address not in leaders:
+            first = orders[member.address][0]
+            assert first.split(".")[2] == member.address.split(".")[2]
+            assert orders[member.address][1] == ""
+
+
+def test_a_failed_source_is_left_out_for_a_while(clock):
+    member = MEMBERS[0]
+    order = SourceOrder(clock, member.address, member.data_centre, member.region)
+    first = order.list_candidates(MEMBERS)[0]
+    order.skip(first)
+    assert first not in order.list_candidates(MEMBERS)
+    clock.advance(10.0)
+    assert order.list_candidates(MEMBERS)[0] == first
+
+
+def test_a_node_that_knows_nobody_asks_the_store(clock):
+    order = SourceOrder(clock, "10.0.0.1:7000", "dc-0", "region-0")
+    assert order.list_candidates([]) == [""]
+    order.skip("")
+    assert order.list_candidates([]) == [""]
--- /dev/null
+++ b/tests/test_instance.py
@@ -0,0 +1,222 @@
+"""Tests of godwitrack_node.instance against backend servers that misbehave."""
+
+import socket
+import struct
+import threading
+import time
+
+import pytest
+
+from godwitrack.clock import SystemClock
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack.link import Watch
+from godwitrack.settings import Address
+from godwitrack_node.instance import InstanceClient, InstanceRequest
+
+RESET = struct.pack("ii", 1, 0)
+WAIT_SECONDS = 5.0
+
+
+def make_answer(body=b"ok", request_id="1", head=b""):
+    return b"HTTP/1.1 200 OK\r\nId: %b\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        request_id.encode(),
+        head,
+        len(body),
+        body,
+    )
+
+
+class ScriptedServer:
+    """Answers each request with the next steps of a script.
+
+    A step is bytes to send, a number of seconds to wait, "close" or "reset".
+    """
+
+    def __init__(self, scripts, drains=True):
+        self._scripts = list(scripts)
+        self._drains = drains
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._socket.getsockname()[1])
+        self.heads = []
+        self.connections = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self):
+        self._socket.close()
+
+    def _run(self):
+        while self._scripts:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        data = b""
+        while self._scripts:
+            while b"\r\n\r\n" not in data:
+                part = sock.recv(65536)
+                if not part:
+                    sock.close()
+                    return
+                data += part
+            head, _, data = data.partition(b"\r\n\r\n")
+            self.heads.append(head)
+            for step in self._scripts.pop(0):
+                if isinstance(step, bytes):
+                    sock.sendall(step)
+                elif step == "reset":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    sock.close()
+                    return
+                elif step == "close":
+                    sock.close()
+                    return
+                else:
+                    time.sleep(step)
+
+
+def make_request(body=b"", read_more=None, length=None, idempotent=True, method="GET"):
+    length = len(body) if length is None else length
+    return InstanceRequest(
+        method, "/x", [["Host", "h"]], body, length, read_more, idempotent
+    )
+
+
+def owns(request_id):
+    return lambda answer: answer.get("id", "-") == request_id
+
+
+def send(client, request, request_id="1", seconds=WAIT_SECONDS, watch=None):
+    deadline = SystemClock().read_monotonic() + seconds
+    return client.send(request, owns(request_id), deadline, watch)
+
+
+def make_client(server):
+    return InstanceClient(SystemClock(), server.address, 4)
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [make_answer()],
+        [make_answer()[:30], 0.02, make_answer()[30:]],
+        [CHUNKED + b"0\r\n\r\n"],
+        [UNFRAMED, "close"],
+        [b"HTTP/1.1 100 Continue\r\n\r\n" + make_answer()],
+        # A second answer to an earlier request comes first.
+        [make_answer(b"other", "0") + make_answer()],
+        [make_answer() + make_answer()],
+        [make_answer() + b"no HTTP at all"],
+    ],
+    ids=range(8),
+)
+def test_the_whole_own_answer_arrives(script):
+    server = ScriptedServer([script])
+    answer = send(make_client(server), make_request())
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        ([make_answer()[:-1], "close"], ErrorKind.OUTCOME_UNKNOWN),
+        ([make_answer()[:-1], "reset"], ErrorKind.OUTCOME_UNKNOWN),
+        ([UNFRAMED, 0.05, "reset"], ErrorKind.OUTCOME_UNKNOWN),
+        ([CHUNKED, "close"], ErrorKind.OUTCOME_UNKNOWN),
+        (["reset"], ErrorKind.OUTCOME_UNKNOWN),
+        (["close"], ErrorKind.OUTCOME_UNKNOWN),
+        ([b"garbage\r\n\r\n"], ErrorKind.OUTCOME_UNKNOWN),
+        ([make_answer(b"other", "0"), "close"], ErrorKind.OUTCOME_UNKNOWN),
+        ([1.0], ErrorKind.TIMEOUT),
+    ],
+    ids=range(9),
+)
+def test_what_is_no_whole_answer_is_an_error(script, kind):
+    server = ScriptedServer([script])
+    with pytest.raises(RequestError) as caught:
+        send(make_client(server), make_request(), seconds=0.5)
+    assert caught.value.kind is kind
+    assert not caught.value.answer.not_run
+
+
+@pytest.mark.parametrize(
+    ("first", "connections"),
+    [
+        (make_answer(), 1),
+        (make_answer(head=b"Connection: close\r\n"), 2),
+        (make_answer(head=b"Keep-Alive: timeout=1\r\n"), 2),
+        (make_answer() + make_answer(b"late"), 2),
+        (make_answer() + b"x", 2),
+    ],
+    ids=["kept", "close", "short", "second answer", "extra byte"],
+)
+def test_a_connection_is_used_again_only_in_good_order(first, connections):
+    server = ScriptedServer([[first], [make_answer(b"two", "2")]])
+    client = make_client(server)
+    send(client, make_request())
+    time.sleep(0.05)
+    assert send(client, make_request(), "2").body == b"two"
+    assert server.connections == connections
+
+
+def test_nothing_is_sent_where_nobody_listens():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        address = Address("127.0.0.1", sock.getsockname()[1])
+    client = InstanceClient(SystemClock(), address, 1)
+    for _ in range(2):
+        with pytest.raises(RequestError) as caught:
+            send(client, make_request())
+        assert caught.value.kind is ErrorKind.BACKEND_UNREACHABLE
+
+
+def test_an_answer_before_the_end_of_a_long_body_ends_its_connection():
+    server = ScriptedServer([[make_answer(), 1.0], [make_answer(b"two", "2")]])
+    client = make_client(server)
+    body = b"x" * 2**25
+    answer = send(client, make_request(body, method="POST", idempotent=False))
+    assert answer.body == b"ok"
+    assert send(client, make_request(), "2").body == b"two"
+    assert server.connections == 2
+
+
+def test_a_body_in_parts_is_sent_in_chunks():
+    server = ScriptedServer([[make_answer()]])
+    parts = [b"bc", b"d", b""]
+    request = make_request(b"a", lambda: parts.pop(0), -1, method="POST")
+    assert send(make_client(server), request).body == b"ok"
+    assert b"transfer-encoding: chunked" in server.heads[0].lower()
+
+
+def test_a_request_ends_when_its_caller_leaves():
+    server = ScriptedServer([[2.0, make_answer()]])
+    near, far = socket.socketpair()
+    near.settimeout(60.0)
+    timer = threading.Timer(0.1, far.close)
+    timer.start()
+    started = time.monotonic()
+    with pytest.raises(CallerGone):
+        send(make_client(server), make_request(), watch=Watch(near))
+    assert time.monotonic() - started < 1.0
+    timer.join()
+
+
+def test_a_watch_does_not_wait_for_a_socket_with_a_time_out():
+    """Seen as calls that their guard held to the end (CONFIG)."""
+    near, far = socket.socketpair()
+    near.settimeout(60.0)
+    started = time.monotonic()
+    assert not Watch(near).is_gone()
+    assert time.monotonic() - started < 5.0
+    far.sendall(b"x")
+    assert not Watch(near).is_gone()
+    near.recv(1)
+    far.close()
+    assert Watch(near).is_gone()
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,101 @@
+"""Tests of godwitrack_node.placing: servers whose speed changes at every moment."""
+
+import random
+
+import pytest
+
+from godwitrack.messages import Load
+from godwitrack.routetable import HostRoute, SplitPart
+from godwitrack_node.placing import Member, MemberView, Placer
+
+NOW = 1000.0
+
+
+def make_view(address, data_centre="dc-0", region="region-0", is_serving=True):
+    return MemberView(
+        Member(address, "scenbok", region, data_centre, 10, is_serving, "i", 1)
+    )
+
+
+def make_route(regions=(), is_upload=False):
+    return HostRoute(
+        "r",
+        "h",
+        "/",
+        [SplitPart("scenbok", 1)],
+        idempotent=True,
+        timeout=1.0,
+        objective=0.5,
+        regions=regions,
+        is_upload=is_upload,
+    )
+
+
+def choose(views, route=None, tried=(), now=NOW):
+    placer = Placer("region-0", "dc-0", random.Random(1))
+    view = placer.choose(views, route or make_route(), now, tried)
+    return view.member.address if view is not None else None
+
+
+def make_load(in_flight=0, queued=0, limit=10, slowness=100):
+    return Load(in_flight, queued, limit, 1, slowness)
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "is_upload", "expected"),
+    [
+        (make_load(), make_load(), False, "near"),
+        (make_load(8), make_load(), False, "near"),
+        (make_load(10, 10, slowness=500), make_load(), False, "far"),
+        (make_load(10, 3, slowness=500), make_load(), True, "near"),
+    ],
+)
+def test_a_request_leaves_its_data_centre_only_where_that_pays(
+    near, far, is_upload, expected
+):
+    views = [make_view("near"), make_view("far", "dc-1")]
+    views[0].take_load(near, NOW)
+    views[1].take_load(far, NOW)
+    assert choose(views, make_route(is_upload=is_upload)) == expected
+
+
+def test_the_slower_of_two_equal_servers_is_left():
+    views = [make_view("slow"), make_view("fast")]
+    views[0].take_load(make_load(5, slowness=500), NOW)
+    views[1].take_load(make_load(5, slowness=100), NOW)
+    assert choose(views) == "fast"
+
+
+def test_old_reports_count_for_nothing():
+    views = [make_view("a"), make_view("b")]
+    views[0].take_load(make_load(10, 10, slowness=500), NOW - 10.0)
+    views[1].in_flight = 1
+    assert choose(views) == "a"
+
+
+def test_failures_make_a_server_look_loaded_and_fade():
+    views = [make_view("failing"), make_view("other")]
+    views[1].in_flight = 2
+    views[0].note_failure(NOW)
+    assert choose(views) == "other"
+    assert choose(views, now=NOW + 10.0) == "failing"
+
+
+@pytest.mark.parametrize("what", ["away", "down", "leaving", "tried", "region"])
+def test_who_may_not_be_chosen(what):
+    view = make_view("a", is_serving=what != "leaving")
+    if what == "away":
+        view.note_away(NOW)
+    if what == "down":
+        view.note_down(NOW)
+    route = make_route(("region-1",) if what == "region" else ())
+    assert choose([view], route, ("a",) if what == "tried" else ()) is None
+
+
+def test_a_node_that_is_down_comes_back_only_when_reached():
+    view = make_view("a")
+    view.note_down(NOW)
+    assert choose([view], now=NOW + 60.0) is None
+    assert view.is_probe_due(NOW + 60.0)
+    view.note_up()
+    assert choose([view], now=NOW + 60.0) == "a"
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,67 @@
+"""Tests of godwitrack_node.repeats."""
+
+import pytest
+
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.routetable import HostRoute, SplitPart
+from godwitrack_node.repeats import RepeatRule
+from godwitrack_node.retryshare import RetryLimits, RetryShare
+
+
+def make_rule(clock, idempotent, max_attempts=2, slack=100.0):
+    route = HostRoute(
+        "r",
+        "h",
+        "/",
+        [SplitPart("scenbok", 1)],
+        idempotent=idempotent,
+        timeout=1.0,
+        objective=0.5,
+        max_attempts=max_attempts,
+    )
+    share = RetryShare(clock, RetryLimits(0.2, 10.0, slack), lambda: 1)
+    return RepeatRule(share, "scenbok", route)
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent", "expected"),
+    [
+        (ErrorKind.SERVER_BUSY, False, True),
+        (ErrorKind.STOPPING, False, True),
+        (ErrorKind.SERVER_SHED, False, True),
+        (ErrorKind.OUTCOME_UNKNOWN, True, True),
+        (ErrorKind.OUTCOME_UNKNOWN, False, False),
+        (ErrorKind.BACKEND_FAILED, True, True),
+        (ErrorKind.TIMEOUT, True, False),
+        (ErrorKind.NO_ROOM, True, False),
+    ],
+    ids=lambda value: getattr(value, "value", value),
+)
+def test_only_what_is_safe_is_tried_again(clock, kind, idempotent, expected):
+    rule = make_rule(clock, idempotent)
+    error = RequestError(kind)
+    rule.note(error)
+    assert rule.allows(error) is expected
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_no_more_servers_run_it_than_the_route_allows(clock, max_attempts):
+    rule = make_rule(clock, True, max_attempts)
+    error = RequestError(ErrorKind.OUTCOME_UNKNOWN)
+    attempts = 1
+    rule.note(error)
+    while rule.allows(error):
+        attempts += 1
+        rule.note(error)
+    assert attempts == max_attempts
+
+
+def test_a_server_that_sheds_costs_a_retry(clock):
+    """Seen on a day whose servers shed half of their requests (BUDGET)."""
+    rule = make_rule(clock, True, max_attempts=3, slack=0.0)
+    error = RequestError(ErrorKind.SERVER_SHED)
+    rule.note(error)
+    assert not rule.allows(error)
+    refusal = RequestError(ErrorKind.SERVER_BUSY)
+    rule.note(refusal)
+    assert rule.allows(refusal)
--- /dev/null
+++ b/tests/test_retryshare.py
@@ -0,0 +1,39 @@
+"""Tests of godwitrack_node.retryshare: the load of a service whose servers fail."""
+
+import pytest
+
+from godwitrack_node.retryshare import RetryLimits, RetryShare
+
+RATIO = 0.2
+WINDOW_SECONDS = 10.0
+SLACK = 64.0
+
+
+@pytest.mark.parametrize("nodes", [1, 15, 77])
+@pytest.mark.parametrize("requests_a_second", [1, 20])
+def test_all_nodes_together_stay_within_the_limits(clock, nodes, requests_a_second):
+    limits = RetryLimits(RATIO, WINDOW_SECONDS, SLACK)
+    shares = [RetryShare(clock, limits, lambda: nodes) for _ in range(nodes)]
+    moments = []
+    requests = []
+    for _ in range(int(2 * WINDOW_SECONDS)):
+        clock.advance(1.0)
+        for share in shares:
+            for _ in range(requests_a_second):
+                share.note_request("scenbok")
+                requests.append(clock.read_monotonic())
+                if share.withdraw("scenbok"):
+                    moments.append(clock.read_monotonic())
+    for start in set(moments):
+        end = start + WINDOW_SECONDS
+        retries = sum(start <= moment < end for moment in moments)
+        sent = sum(start <= moment < end for moment in requests)
+        assert retries <= RATIO * sent + SLACK
+    assert moments
+
+
+def test_services_have_shares_of_their_own(clock):
+    share = RetryShare(clock, RetryLimits(RATIO, WINDOW_SECONDS, 2.0), lambda: 1)
+    assert share.withdraw("scenbok")
+    assert not share.withdraw("scenbok")
+    assert share.withdraw("styrning")
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,121 @@
+"""Tests of godwitrack_node.waiting: bursts, cold starts and callers that leave."""
+
+import threading
+
+import pytest
+
+from godwitrack.clock import SystemClock
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack_node.waiting import ColdCap, Entrant, WaitingRoom
+
+SLOTS = 12
+COLD_RATE = 37.0
+
+
+def make_entrant(clock, objective=1.0, left=5.0, **values):
+    return Entrant(
+        values.pop("priority", 1), objective, clock.read_monotonic() + left, **values
+    )
+
+
+class FakeWatch:
+    """A watch of a connection that ends when told."""
+
+    is_ended = False
+
+    def fileno(self):
+        return 0
+
+    def is_gone(self):
+        return self.is_ended
+
+
+def test_no_more_run_at_once_than_the_limit(clock):
+    room = WaitingRoom(clock, SLOTS)
+    for _ in range(room.limit):
+        room.acquire(make_entrant(clock))
+    assert room.in_flight == room.limit < SLOTS
+
+
+def test_what_would_wait_too_long_is_refused_on_arrival(clock):
+    room = WaitingRoom(clock, SLOTS)
+    running = [make_entrant(clock) for _ in range(room.limit)]
+    for entrant in running:
+        room.acquire(entrant)
+    clock.advance(5.0)
+    room.release(running.pop(), True)
+    room.acquire(make_entrant(clock))
+    with pytest.raises(RequestError) as caught:
+        # Answers take seconds now, its objective is a few milliseconds.
+        room.acquire(make_entrant(clock, objective=0.01))
+    assert caught.value.kind is ErrorKind.SERVER_BUSY
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        ({"priority": 2}, {"priority": 1}),
+        ({"is_nested": False}, {"is_nested": True}),
+        ({"is_return": False}, {"is_return": True}),
+    ],
+    ids=str,
+)
+def test_who_starts_first(clock, first, second):
+    early, late = make_entrant(clock, **first), make_entrant(clock, **second)
+    early.arrived_at, late.arrived_at = 1.0, 1.01
+    assert late.order < early.order
+
+
+def test_a_less_urgent_request_is_not_passed_for_ever(clock):
+    early = make_entrant(clock, priority=2)
+    late = make_entrant(clock, priority=1)
+    early.arrived_at, late.arrived_at = 1.0, 1.5
+    assert early.order < late.order
+
+
+@pytest.mark.parametrize("seconds", [1, 5])
+def test_a_cold_server_gets_no_more_than_it_bears_in_any_second(seconds):
+    cap, starts, now = ColdCap(), [], 100.0
+    while now < 100.0 + seconds:
+        if cap.allows(COLD_RATE, now):
+            cap.note(now)
+            starts.append(now)
+        now += 0.001
+    for start in starts:
+        assert sum(start <= moment < start + 1.0 for moment in starts) <= COLD_RATE
+    assert len(starts) >= 0.8 * COLD_RATE * seconds
+
+
+def test_a_caller_that_leaves_gives_up_its_place():
+    room = WaitingRoom(SystemClock(), 1)
+    room.acquire(make_entrant(SystemClock()))
+    watch = FakeWatch()
+    timer = threading.Timer(0.05, setattr, (watch, "is_ended", True))
+    timer.start()
+    with pytest.raises(CallerGone):
+        room.acquire(make_entrant(SystemClock(), objective=20.0), watch)
+    assert room.queued == 0
+    timer.join()
+
+
+def test_a_stop_refuses_those_that_wait():
+    room = WaitingRoom(SystemClock(), 1)
+    room.acquire(make_entrant(SystemClock()))
+    timer = threading.Timer(0.05, room.close, (ErrorKind.STOPPING,))
+    timer.start()
+    with pytest.raises(RequestError) as caught:
+        room.acquire(make_entrant(SystemClock(), objective=20.0))
+    assert caught.value.kind is ErrorKind.STOPPING
+    timer.join()
+
+
+def test_a_released_place_goes_to_the_one_that_waits():
+    clock = SystemClock()
+    room = WaitingRoom(clock, 1)
+    first, second = make_entrant(clock), make_entrant(clock, objective=20.0)
+    room.acquire(first)
+    timer = threading.Timer(0.05, room.release, (first, True))
+    timer.start()
+    room.acquire(second)
+    assert second.started_at is not None
+    timer.join()
