--- a/tests/test_feedreplica.py
+++ b/tests/test_feedreplica.py
@@ -74,7 +74,7 @@
     source.merge(make_page([("b", 4, None), ("c", 6, b"6")], 6))
     reader = FeedReplica(clock)
     if after >= 0:
-        reader.merge(make_page([("a", 1, b"1"), ("b", 2, b"2")], after, True))
+        reader.merge(make_page(known, after, True))
     page = source.read(after, 0.0)
     answer = decode_message(make_answer(FeedTable.FLEET, page).encode())
     reader.merge(read_answer(answer))
