--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,233 @@
+"""Tests of the adapter to the users' platform."""
+
+import json
+
+import pytest
+
+from godwitrack.exceptions import ErrorKind, RequestError, SettingsError
+from godwitrack.feed import FeedRow
+from godwitrack_node.httpserver import HttpRequest
+from godwitrack_node.instance import InstanceAnswer
+from godwitrack_platform.dialects import PlatformCallers, PlatformServers
+from godwitrack_platform.operators import PlatformOperatorsRow
+from godwitrack_platform.settings import load_platform_settings
+
+SETTINGS = """
+nodeName = "sidecar-malmo-a-1"
+ip = "10.1.0.8"
+zone = "malmo-a"
+region = "sve-syd"
+internalPorts = [7620,7635]
+heartbeatS = 1.5
+appAddr = "10.1.0.8:8301"
+service = "huvo11a"
+[zones]
+malmo-a = "sve-syd"
+[listenAddrs]
+outbound = "10.1.0.8:8304"
+readiness = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[bounds]
+graceS = 6
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 64
+[platform]
+address = "10.200.1.7:8309"
+[unknown]
+field = 1
+"""
+
+ROUTE = {
+    "host": "Hulo84.example",
+    "prefix": "/x/",
+    "kind": "non_idempotent",
+    "timeoutS": 1.2,
+    "sloS": 0.4,
+    "priority": 1,
+    "service": "wuno96b",
+    "maxAttempts": 2,
+    "allowedRegions": ["sve-syd"],
+}
+SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+
+
+def make_row(spec, version="r7", key="config"):
+    entry = {"entryKind": "routes", "metadata": {"name": "r-1"}, "spec": spec}
+    data = {"version": version, "resources": [entry]}
+    return FeedRow(key, 1, json.dumps(data).encode())
+
+
+def test_settings_are_read(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    settings = load_platform_settings(path)
+    node = settings.node
+    assert (node.service, node.data_centre, node.region) == (
+        "huvo11a",
+        "malmo-a",
+        "sve-syd",
+    )
+    assert str(node.links) == "10.1.0.8:7620"
+    assert str(node.callers) == "10.1.0.8:8304"
+    assert str(node.server) == "10.1.0.8:8301"
+    assert str(settings.store) == "10.200.1.7:8309"
+    assert node.stop_seconds < 6
+    assert node.retry_limits.slack == 64
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "text"),
+    [
+        ('service = "huvo11a"', "", "service: missing"),
+        ('"10.1.0.8:8301"', '"nowhere"', "expected an IP number and a port"),
+        ("[bounds]", "[bounds", "local.toml"),
+        ("heartbeatS = 1.5", 'heartbeatS = "soon"', "soon"),
+    ],
+)
+def test_a_wrong_setting_is_named(tmp_path, old, new, text):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        load_platform_settings(path)
+    assert text in str(caught.value)
+    assert "local.toml" in str(caught.value)
+
+
+def test_all_nodes_of_a_deployment_share_a_secret(tmp_path):
+    secrets = set()
+    for number, text in enumerate(
+        (
+            SETTINGS,
+            SETTINGS.replace("10.1.0.8", "10.2.0.9"),
+            SETTINGS.replace("10.200.1.7", "10.201.1.7"),
+        )
+    ):
+        path = tmp_path / f"{number}.toml"
+        path.write_text(text)
+        secrets.add(load_platform_settings(path).node.secret)
+    assert len(secrets) == 2
+
+
+def test_a_route_is_read():
+    table = PlatformOperatorsRow().read_routes(make_row(ROUTE))
+    assert table.revision == 7
+    route = table.find_route("hulo84.example:80", "/x/1")
+    assert not route.idempotent and not route.is_upload
+    assert (route.timeout, route.objective, route.priority) == (1.2, 0.4, 1)
+    assert route.regions == {"sve-syd"}
+    assert [part.service for part in route.parts] == ["wuno96b"]
+
+
+def test_a_split_takes_the_place_of_a_service():
+    spec = {**ROUTE, "service": None, "trafficSplit": SPLIT, "kind": "upload"}
+    route = PlatformOperatorsRow().read_routes(make_row(spec)).routes[0]
+    assert [(part.service, part.weight) for part in route.parts] == [
+        ("a", 90),
+        ("b", 10),
+    ]
+    assert route.is_upload and not route.idempotent
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        make_row(ROUTE, key="other"),
+        make_row(ROUTE, version="seven"),
+        make_row({**ROUTE, "timeoutS": "soon"}),
+        make_row({"host": "h"}),
+        FeedRow("config", 1, b"\xff\x00"),
+        FeedRow("config", 1, b"[]"),
+    ],
+    ids=range(6),
+)
+def test_rows_that_hold_no_routes_change_nothing(row):
+    assert PlatformOperatorsRow().read_routes(row) is None
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"),
+    [("evacuate/malmo-a", "malmo-a"), ("config", None), ("evacuated", None)],
+)
+def test_a_take_out_is_read(key, expected):
+    assert PlatformOperatorsRow().read_take_out(FeedRow(key, 1, b"{}")) == expected
+
+
+def make_answer(status, **headers):
+    pairs = [[name.replace("_", "-"), value] for name, value in headers.items()]
+    return InstanceAnswer(status, pairs, b"")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "owned", "unrun", "genuine"),
+    [
+        (200, {"Request_Id": "1", "Server_Signature": "s"}, True, False, True),
+        (200, {"Request_Id": "2", "Server_Signature": "s"}, False, False, True),
+        (200, {"Server_Signature": "s"}, False, False, True),
+        (200, {"Request_Id": "1"}, True, False, False),
+        (500, {"Request_Id": "1", "Server_Signature": "s"}, True, False, True),
+        (500, {}, True, False, True),
+        (503, {"Not_Executed": "1"}, True, True, False),
+        (429, {"Not_Executed": "1"}, True, True, False),
+        (421, {"Instance_Id": "i"}, True, True, False),
+        # Without the header a 503 promises nothing, but callers would believe it.
+        (503, {"Request_Id": "1", "Server_Signature": "s"}, True, False, False),
+    ],
+    ids=range(10),
+)
+def test_answers_are_judged(status, headers, owned, unrun, genuine):
+    named = {f"Godwitrack_{name}": value for name, value in headers.items()}
+    answer = make_answer(status, **named)
+    dialect = PlatformServers()
+    assert dialect.owns(answer, "1") is owned
+    assert dialect.is_unrun(answer) is unrun
+    assert unrun or dialect.is_genuine(answer) is genuine
+
+
+@pytest.mark.parametrize(
+    ("load", "slowness"),
+    [("3,0,8,250", 250), ("3,0,8", None), ("", None), ("a,b,c,d", None)],
+)
+def test_slowness_is_the_fourth_figure(load, slowness):
+    answer = make_answer(200, Godwitrack_Server_Load=load)
+    assert PlatformServers().read_slowness(answer) == slowness
+
+
+def make_request(headers):
+    return HttpRequest("GET", "/x", list(headers.items()), 0, True)
+
+
+def test_own_headers_of_a_caller_do_not_go_on():
+    request = make_request(
+        {
+            "host": "h",
+            "godwitrack-request-id": "1",
+            "godwitrack-caller-service": "forged",
+            "godwitrack-expect-instance": "forged",
+            "godwitrack-timeout-ms": "5",
+            "connection": "close, x-hop",
+            "x-hop": "1",
+            "x-own": "2",
+        }
+    )
+    forwarded = PlatformCallers().list_forwarded(request)
+    assert forwarded == [
+        ["host", "h"],
+        ["godwitrack-request-id", "1"],
+        ["x-own", "2"],
+    ]
+
+
+@pytest.mark.parametrize("text", ["soon", "0", "-5", "1.5"])
+def test_a_timeout_that_is_no_number_is_refused(text):
+    with pytest.raises(RequestError) as caught:
+        PlatformCallers().read_timeout(make_request({"godwitrack-timeout-ms": text}))
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_a_refusal_names_the_time_to_come_back():
+    error = RequestError(ErrorKind.NO_ROOM, retry_after=0.25)
+    refusal = PlatformCallers().write_refusal(error, "1")
+    assert refusal.status == 503
+    assert ("Retry-After", "0.250") in refusal.headers
+    assert ("Godwitrack-Request-Id", "1") in refusal.headers
