Learn how full a server works well; tell nested calls from others; log and count

Ruled out: the fourth load figure as a sign of the knee (it does not move with fill). Change: limits.LimitFinder compares answers at usual speed when full and when not; nested calls are those whose parent runs beside the node, and wait up to half their time; a repeated run costs 2.5 retries; one log line for each decision within a budget, written by a thread; counters and histograms by route at the metrics port.

--- a/packages/godwitrack/src/godwitrack/logs.py
+++ b/packages/godwitrack/src/godwitrack/logs.py
@@ -5,16 +5,19 @@
 
 import structlog
 
+from godwitrack.logwriter import ROUTINE_KEY
+
 LEVELS = ("debug", "info", "warning", "error")
 
 
-def configure_logs(form, level, stream=None):
+def configure_logs(form, level, stream=None, budget=None):
     """Set up structlog for the whole process.
 
     Args:
         form: "json" for one JSON object a line, "console" for people.
         level: Lowest level that is printed, one of LEVELS.
         stream: Text file to print to; standard error by default.
+        budget: LogBudget, or None where every line is written.
     """
     if form == "json":
         renderer = structlog.processors.JSONRenderer()
@@ -22,6 +25,7 @@
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
         processors=[
+            budget or _drop_routine_mark,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -36,6 +40,11 @@
     )
 
 
+def _drop_routine_mark(logger, method, event):
+    event.pop(ROUTINE_KEY, None)
+    return event
+
+
 def find_logger(name):
     """Return the logger of a module or service."""
     return structlog.get_logger(component=name)
--- a/packages/godwitrack_node/src/godwitrack_node/callers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -87,7 +87,7 @@
             return False
         if self._is_stopping:
             request.keep_alive = False
-        errand = self._entry.begin(request, remote)
+        errand = self._entry.begin(request)
         with self._metrics.track_request():
             is_open = self._handle(errand, request, connection)
         self._metrics.record_request(errand)
--- a/packages/godwitrack_node/src/godwitrack_node/dialect.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dialect.py
@@ -44,6 +44,10 @@
     def read_request_id(self, request):
         """Return the id that the caller gave an HttpRequest, or ""."""
 
+    @abc.abstractmethod
+    def read_parent_id(self, request):
+        """Return the id of the request that an HttpRequest may belong to, or ""."""
+
     @abc.abstractmethod
     def read_timeout(self, request):
         """Return the seconds for which the caller waits, or None.
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -32,7 +32,7 @@
         method: HTTP method.
         target: Path and query as sent.
         path: Path without the query.
-        remote: "host:port" of the caller.
+        is_nested: Whether a request that runs at the own backend server waits for it.
         received_at: Monotonic time of its arrival in seconds.
         deadline: Monotonic time in seconds.
         caller_deadline: Monotonic time until which the caller waits, in seconds.
@@ -40,6 +40,7 @@
         service: Name of the service that it goes to, or "".
         rule: RepeatRule, or None.
         server: Address of the member tried last, or "".
+        load_age_ms: Age of the load that placed it there, or None.
         status: HTTP status given to the caller, or 0.
         kind: ErrorKind given to the caller, or None.
         revision: Revision of the routes that decided.
@@ -49,11 +50,12 @@
         "attempt_prefix",
         "caller_deadline",
         "deadline",
+        "is_nested",
         "kind",
+        "load_age_ms",
         "method",
         "path",
         "received_at",
-        "remote",
         "request_id",
         "revision",
         "route",
@@ -67,13 +69,13 @@
     customer = ""
     depth = 1
 
-    def __init__(self, request_id, attempt_prefix, request, remote, now):
+    def __init__(self, request_id, attempt_prefix, request, is_nested, now):
         self.request_id = request_id
         self.attempt_prefix = attempt_prefix
         self.method = request.method
         self.target = request.target
         self.path = request.target.partition("?")[0]
-        self.remote = remote
+        self.is_nested = is_nested
         self.received_at = now
         self.deadline = now
         self.caller_deadline = now
@@ -81,6 +83,7 @@
         self.service = ""
         self.rule = None
         self.server = ""
+        self.load_age_ms = None
         self.status = 0
         self.kind = None
         self.revision = 0
@@ -145,12 +148,14 @@
         """CallerLimits for what callers send."""
         return self._routes.limits
 
-    def begin(self, request, remote=""):
+    def begin(self, request):
         """Return the RoutedErrand of a request that just arrived."""
         now = self._clock.read_monotonic()
         prefix = self._identity.make_request_id()
         request_id = self._dialect.read_request_id(request) or prefix
-        return RoutedErrand(request_id, prefix, request, remote, now)
+        parent = self._dialect.read_parent_id(request)
+        is_nested = bool(parent) and self._guard.is_running(parent)
+        return RoutedErrand(request_id, prefix, request, is_nested, now)
 
     def handle(self, errand, request, connection):
         """Serve a request.
@@ -236,6 +241,7 @@
     def _attempt(self, errand, view, call, source, sink):
         """Make one attempt and learn from it."""
         errand.server = view.member.address
+        errand.load_age_ms = view.find_age_ms(self._clock.read_monotonic())
         view.in_flight += 1
         try:
             load = self._find_attempt(errand, view, call, source).run(
@@ -323,7 +329,7 @@
             errand.target,
             self._dialect.list_forwarded(request),
             route.idempotent,
-            self._is_nested(errand),
+            errand.is_nested,
             False,
             sorted(route.regions),
             route.priority,
@@ -335,10 +341,6 @@
             more,
         )
 
-    def _is_nested(self, errand):
-        """Tell whether the backend server beside the node sent the request."""
-        return errand.remote.partition(":")[0] == self._own_address.partition(":")[0]
-
     def _probe_silent(self):
         """Look whether nodes that could not be reached answer again."""
         now = self._clock.read_monotonic()
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -122,7 +122,7 @@
         """CallerLimits for what callers send."""
         return DEFAULT_LIMITS
 
-    def begin(self, request, remote=""):
+    def begin(self, request):
         """Return the Errand of a request that just arrived."""
         now = self._clock.read_monotonic()
         return Errand(self._identity.make_request_id(), request, now)
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -44,6 +44,7 @@
         self._slowness = USUAL_SLOWNESS
         self._is_stopping = False
         self._checked_at = 0.0
+        self._running = set()
         self._log = find_logger("guard")
         self.ledger = Ledger(clock)
         self.room = WaitingRoom(clock)
@@ -82,6 +83,10 @@
             self._slowness,
         )
 
+    def is_running(self, caller_id):
+        """Tell whether the backend server runs the request with this id now."""
+        return caller_id in self._running
+
     def make_sink(self, link, call):
         """Return the LinkSink for the answer to a call that came over a link."""
         pacer = self._pacer if call.is_regional else None
@@ -158,13 +163,20 @@
         )
         self.room.acquire(entrant, source.watch)
         is_answered = False
+        self._running.add(call.caller_id)
         try:
             # It may have begun to leave while the request waited.
             self._check(call)
             answer = self._send(call, source, deadline)
             is_answered = True
+            if answer.status < 500:
+                kind = (call.method, call.objective_ms, call.priority)
+                slowness = self._dialect.read_slowness(answer)
+                self.room.learn(entrant, kind, slowness)
         finally:
+            self._running.discard(call.caller_id)
             self.room.release(entrant, is_answered)
+        self._log_answer(call, entrant, answer)
         self._hand_over(call, answer, sink)
 
     def _check(self, call):
@@ -258,6 +270,23 @@
                 self._checked_at = now
                 self._registration.suspect(error.detail)
 
+    def _log_answer(self, call, entrant, answer):
+        now = self._clock.read_monotonic()
+        self._log.info(
+            "call answered",
+            request_id=call.caller_id,
+            attempt=call.request_id,
+            instance=self._registration.instance,
+            status=answer.status,
+            waited_ms=round((entrant.started_at - entrant.arrived_at) * 1000, 1),
+            ran_ms=round((now - entrant.started_at) * 1000, 1),
+            running_before=entrant.running,
+            in_flight=self.room.in_flight,
+            limit=self.room.limit,
+            slowness=self._slowness,
+            routine=answer.status < 500,
+        )
+
     def _log_refusal(self, call, error):
         room = self.room
         self._log.info(
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -17,11 +17,11 @@
 from godwitrack_node.linkpool import LinkPool
 from godwitrack_node.linkserver import LinkServer
 from godwitrack_node.news import News
+from godwitrack_node.outcomelog import OutcomeLog
 from godwitrack_node.pacing import RegionalPacer
 from godwitrack_node.placing import Placer
 from godwitrack_node.registration import Registration
-from godwitrack_node.requestcounts import RequestCounts
-from godwitrack_node.requestlog import RequestLog
+from godwitrack_node.requestcounts import MetricsHandler, RequestCounts
 from godwitrack_node.retryshare import RetryShare
 from godwitrack_node.roster import Roster
 from godwitrack_node.routes import Routes
@@ -224,9 +224,13 @@
                 Placer(identity.region, identity.data_centre),
                 share,
             ),
-            RequestLog(clock, identity, 0.0),
+            OutcomeLog(clock),
             HttpPort("reports", executor, settings.reports, adapter.reports),
             Callers(executor, settings.callers, CALLERS, adapter.callers),
             HttpPort("readiness", executor, settings.readiness, self._readiness),
         ):
             self.kernel.register(service)
+        if settings.metrics is not None:
+            self.kernel.register(
+                HttpPort("metrics-port", executor, settings.metrics, MetricsHandler())
+            )
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -140,6 +140,12 @@
         self.is_down = False
         self._down_seconds = DOWN_SECONDS
 
+    def find_age_ms(self, now):
+        """Return the age of the last report in milliseconds, or None without one."""
+        if math.isinf(self._reported_at):
+            return None
+        return round((now - self._reported_at) * 1000)
+
     def estimate_use(self, now):
         """Return the load in relation to what the member works on at once."""
         age = max(now - self._reported_at, 0.0)
--- a/packages/godwitrack_node/src/godwitrack_node/repeats.py
+++ b/packages/godwitrack_node/src/godwitrack_node/repeats.py
@@ -6,6 +6,7 @@
 """
 
 from godwitrack.exceptions import ErrorKind
+from godwitrack_node.retryshare import RUN_COST
 
 MAX_REFUSALS = 3
 REPEATABLE_KINDS = frozenset(
@@ -71,7 +72,8 @@
             return False
         if error.kind not in REPEATABLE_KINDS:
             return False
-        return self._share.withdraw(self._service)
+        cost = 1.0 if error.answer.not_run else RUN_COST
+        return self._share.withdraw(self._service, cost)
 
 
 def is_refusal(error):
--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -1,9 +1,55 @@
-"""Counts the requests of a hosted node."""
+"""Counts and latency histograms of a hosted node's requests.
 
+Each request adds to plain numbers; the metrics library is loaded when they are first
+asked for, since it takes more memory than all the rest that a node imports.
+"""
+
+import bisect
 import contextlib
 import threading
 
 from godwitrack.kernel import Service
+from godwitrack_node.hostports import PortAnswer, PortHandler
+
+MAX_ROUTES = 200
+OTHER_ROUTE = "other"
+NO_ROUTE = "none"
+LATENCY_BOUNDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0)
+
+# Name of each metric, its labels and its meaning; docs/OPERATIONS.md lists them.
+COUNTERS = {
+    "godwitrack_requests_total": "Requests by route and status",
+    "godwitrack_request_seconds_bucket": "Answered within le seconds, by route",
+    "godwitrack_request_seconds_sum": "Seconds until the answer, by route",
+    "godwitrack_request_seconds_count": "Answers, by route",
+    "godwitrack_errors_total": "Error answers of the node by kind",
+    "godwitrack_retries_total": "Attempts after the first of a request",
+    "godwitrack_bad_input_total": "Input that was not well formed, by port",
+    "godwitrack_callers_gone_total": "Callers that left before their answer",
+}
+GAUGES = {
+    "godwitrack_state": "State of the node, by name",
+}
+
+
+class Tally:
+    """Answers of one route.
+
+    Attributes:
+        buckets: Answers by the first bound that they kept, the rest at the end.
+        seconds: Seconds until the answers, added up.
+    """
+
+    __slots__ = ("buckets", "seconds")
+
+    def __init__(self):
+        self.buckets = [0] * (len(LATENCY_BOUNDS) + 1)
+        self.seconds = 0.0
+
+    def add(self, seconds):
+        """Count one answer."""
+        self.buckets[bisect.bisect_left(LATENCY_BOUNDS, seconds)] += 1
+        self.seconds += seconds
 
 
 class RequestCounts(Service):
@@ -15,6 +61,17 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._active = 0
+        self._tallies = {}
+        self._statuses = {}
+        self._errors = {}
+        self._bad_input = {}
+        self._retries = 0
+        self._gone = 0
+        self._kernel = None
+
+    def connect(self, kernel):
+        """Keep the kernel, whose services tell the node's state."""
+        self._kernel = kernel
 
     @property
     def active(self):
@@ -34,9 +91,113 @@
 
     def record_request(self, errand):
         """Count a request that ended."""
+        seconds = self._clock.read_monotonic() - errand.received_at
+        with self._lock:
+            route = self._bound_route(errand.request_class)
+            self._tallies[route].add(seconds)
+            _count(self._statuses, (route, errand.status))
+            if errand.kind is not None:
+                _count(self._errors, errand.kind.value)
+            self._retries += max(errand.attempts - 1, 0)
 
     def count_bad_input(self, port):
-        """Count input that was no well-formed request or message."""
+        """Count input that was no well-formed request or message.
+
+        Args:
+            port: "http" or "link".
+        """
+        with self._lock:
+            _count(self._bad_input, port)
 
     def count_caller_gone(self):
         """Count a caller that left before its answer was complete."""
+        with self._lock:
+            self._gone += 1
+
+    def render(self):
+        """Return the body and the headers of a scrape."""
+        from aioprometheus import Counter, Gauge, Registry, render
+
+        registry = Registry()
+        counters = {
+            name: Counter(name, text, registry=registry)
+            for name, text in COUNTERS.items()
+        }
+        gauges = {
+            name: Gauge(name, text, registry=registry) for name, text in GAUGES.items()
+        }
+        with self._lock:
+            self._fill(counters)
+        for name, value in self._read_state().items():
+            gauges["godwitrack_state"].set({"name": name}, value)
+        return render(registry, [])
+
+    def _fill(self, counters):
+        for route, tally in self._tallies.items():
+            self._fill_latency(counters, route, tally)
+        for (route, status), count in self._statuses.items():
+            labels = {"route": route, "status": str(status)}
+            counters["godwitrack_requests_total"].set(labels, count)
+        for kind, count in self._errors.items():
+            counters["godwitrack_errors_total"].set({"kind": kind}, count)
+        for port, count in self._bad_input.items():
+            counters["godwitrack_bad_input_total"].set({"port": port}, count)
+        counters["godwitrack_retries_total"].set({}, self._retries)
+        counters["godwitrack_callers_gone_total"].set({}, self._gone)
+
+    def _fill_latency(self, counters, route, tally):
+        total = 0
+        bounds = [str(bound) for bound in LATENCY_BOUNDS] + ["+Inf"]
+        for bound, count in zip(bounds, tally.buckets, strict=True):
+            total += count
+            labels = {"route": route, "le": bound}
+            counters["godwitrack_request_seconds_bucket"].set(labels, total)
+        labels = {"route": route}
+        counters["godwitrack_request_seconds_sum"].set(labels, tally.seconds)
+        counters["godwitrack_request_seconds_count"].set(labels, total)
+
+    def _read_state(self):
+        guard = self._kernel.find("guard")
+        routes = self._kernel.find("configurations")
+        registration = self._kernel.find("registration")
+        return {
+            "in_flight": guard.room.in_flight,
+            "queued": guard.room.queued,
+            "limit": guard.room.limit,
+            "ledger_entries": len(guard.ledger),
+            "revision": routes.table.revision if routes.is_ready else 0,
+            "members": len(self._kernel.find("roster").list_members()),
+            "links_opened": self._kernel.find("link-pool").opened,
+            "serving": int(registration.is_serving),
+            "suspect": int(registration.is_suspect),
+            "active": self._active,
+        }
+
+    def _bound_route(self, name):
+        """Return a label for a route, of which there are only so many."""
+        label = name or NO_ROUTE
+        if label not in self._tallies:
+            if len(self._tallies) >= MAX_ROUTES:
+                label = OTHER_ROUTE
+            self._tallies.setdefault(label, Tally())
+        return label
+
+
+class MetricsHandler(PortHandler):
+    """Serves the metrics of a hosted node."""
+
+    def __init__(self):
+        self._counts = None
+
+    def connect(self, kernel):
+        """Find the collaborators."""
+        self._counts = kernel.find("metrics")
+
+    def answer(self, method, target, body):
+        """Return the metrics as text to any request."""
+        text, headers = self._counts.render()
+        return PortAnswer(200, text, headers.items())
+
+
+def _count(table, key):
+    table[key] = table.get(key, 0) + 1
--- a/packages/godwitrack_node/src/godwitrack_node/retryshare.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retryshare.py
@@ -9,6 +9,8 @@
 
 # The window slides, and requests count where they arrive, so some is left over.
 SAFETY = 0.6
+# A run that is repeated makes its calls to other services once more, too.
+RUN_COST = 2.5
 
 
 class RetryLimits:
@@ -49,23 +51,30 @@
     def note_request(self, service):
         """Count the first attempt of a request."""
         with self._lock:
-            self._count(self._requests, service).append(self._clock.read_monotonic())
+            moment = self._clock.read_monotonic()
+            self._count(self._requests, service).append((moment, 1.0))
 
-    def withdraw(self, service):
-        """Take one retry; returns whether there was one."""
+    def withdraw(self, service, cost=1.0):
+        """Take one retry; returns whether there was one.
+
+        Args:
+            service: Name of the service.
+            cost: Arrivals at this and other services that it may lead to.
+        """
         limits = self._limits
         with self._lock:
             requests = len(self._count(self._requests, service))
             retries = self._count(self._retries, service)
             slack = limits.slack / max(self._count_nodes(), 1)
-            if len(retries) + 1 > SAFETY * (requests * limits.ratio + slack):
+            spent = sum(spent for _, spent in retries)
+            if spent + cost > SAFETY * (requests * limits.ratio + slack):
                 return False
-            retries.append(self._clock.read_monotonic())
+            retries.append((self._clock.read_monotonic(), cost))
             return True
 
     def _count(self, table, service):
         moments = table.setdefault(service, collections.deque())
         oldest = self._clock.read_monotonic() - self._limits.window
-        while moments and moments[0] < oldest:
+        while moments and moments[0][0] < oldest:
             moments.popleft()
         return moments
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -9,8 +9,8 @@
 import threading
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack_node.limits import LimitFinder
 
-LIMIT_SHARE = 0.85
 WAIT_SHARE = 0.5
 PRIORITY_STEP_SHARE = 0.1
 SERVICE_WEIGHT = 0.1
@@ -34,6 +34,7 @@
         deadline: Monotonic time after which nobody waits for it, in seconds.
         arrived_at: Monotonic time of its arrival.
         started_at: Monotonic time at which it was let through, or None.
+        running: Requests that ran beside it when it was let through.
         refusal: ErrorKind if it was refused, or None.
     """
 
@@ -46,6 +47,7 @@
         "objective",
         "priority",
         "refusal",
+        "running",
         "started_at",
     )
 
@@ -57,6 +59,7 @@
         self.is_return = is_return
         self.arrived_at = 0.0
         self.started_at = None
+        self.running = 0
         self.refusal = None
         self._decided = threading.Event()
 
@@ -69,7 +72,11 @@
     @property
     def wait_until(self):
         """Monotonic time at which it has waited for long enough."""
-        return min(self.arrived_at + WAIT_SHARE * self.objective, self.deadline)
+        allowed = WAIT_SHARE * self.objective
+        if self.is_nested:
+            # Turning it away wastes the run that waits for it.
+            allowed = max(allowed, WAIT_SHARE * (self.deadline - self.arrived_at))
+        return min(self.arrived_at + allowed, self.deadline)
 
     def decide(self):
         """Wake the thread that waits."""
@@ -120,6 +127,7 @@
         self._is_closed = False
         self._cold_rate = None
         self._cap = ColdCap()
+        self._finder = LimitFinder()
 
     @property
     def in_flight(self):
@@ -134,7 +142,7 @@
     @property
     def limit(self):
         """Most requests that may run at once."""
-        return max(int(self._slots * LIMIT_SHARE), 1)
+        return max(int(self._slots * self._finder.share), 1)
 
     def configure(self, slots, cold_rate):
         """Set what the backend server bears.
@@ -198,6 +206,22 @@
             started = self._start_waiting()
         _wake(started)
 
+    def learn(self, entrant, kind, slowness):
+        """Take how long an answer took; called before `release`.
+
+        Args:
+            entrant: Entrant that was let through.
+            kind: Hashable that groups requests of like duration.
+            slowness: Percent of the usual time that work took, or None.
+        """
+        now = self._clock.read_monotonic()
+        with self._lock:
+            if self._cold_rate is not None:
+                return
+            fill = min(entrant.running + 1, self._running) / max(self._slots, 1)
+            seconds = now - entrant.started_at
+            self._finder.record(kind, seconds, fill, slowness, now)
+
     def _offer(self, entrant):
         """Decide about a new request; returns whether it may run at once."""
         now = self._clock.read_monotonic()
@@ -229,6 +253,7 @@
 
     def _start(self, entrant, now):
         entrant.started_at = now
+        entrant.running = self._running
         self._running += 1
         self._cap.note(now)
 
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitrack_node.httpserver import HttpRequest
 from platformstand import (
     Caller,
     Fleet,
@@ -306,3 +307,33 @@
     for thread in threads:
         thread.join()
     assert len(machine.app.runs) == 12
+
+
+def test_metrics_tell_requests_by_route(fleet):
+    machine = fleet.machines[0]
+    ask(machine, "/read/1")
+    ask(machine, "/none/1", "r2")
+    text, _ = machine.find("metrics").render()
+    lines = text.decode().splitlines()
+    assert 'godwitrack_requests_total{route="read",status="200"} 1' in lines
+    assert 'godwitrack_errors_total{kind="unknown_route"} 1' in lines
+    assert 'godwitrack_request_seconds_bucket{le="+Inf",route="read"} 1' in lines
+    assert 'godwitrack_state{name="serving"} 1' in lines
+
+
+def test_calls_of_a_running_request_are_told_from_others(fleet):
+    """Seen as callers' requests that waited as long as nested calls may."""
+    machine = fleet.machines[1]
+    app = machine.app
+    app.seconds = 0.5
+    thread = threading.Thread(target=ask, args=(fleet.machines[0], "/lamp/1", "outer"))
+    thread.start()
+    wait_for(lambda: app.runs)
+    entry = machine.find("entry")
+    kinds = {}
+    for request_id in ("outer.1", "other.1", "outer", "plain"):
+        headers = [("godwitrack-request-id", request_id)]
+        request = HttpRequest("GET", "/read/1", headers, 0, True)
+        kinds[request_id] = entry.begin(request).is_nested
+    thread.join()
+    assert kinds == {"outer.1": True, "other.1": False, "outer": False, "plain": False}
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,59 @@
+"""Tests of godwitrack_node.limits: bursts that fill two kinds of backend servers."""
+
+import math
+import random
+
+import pytest
+
+from godwitrack_node.limits import (
+    FORGET_SECONDS,
+    FULL_SHARE,
+    MIN_FULL_SAMPLES,
+    REDUCED_SHARE,
+    LimitFinder,
+)
+
+KINDS = {"read": 0.07, "write": 0.3, "call": 0.017}
+SPREAD = 0.3
+KNEE = 0.8
+
+
+def play(finder, knee_factor, seconds=10, seed=1, start=0.0):
+    """Replay requests at changing fill, a quarter of them at a fifth of the speed."""
+    rng = random.Random(seed)
+    for step in range(int(seconds * 50)):
+        fill = rng.random() if step % 2 else 1.0
+        fill = min(fill, finder.share)
+        kind = rng.choice(sorted(KINDS))
+        slowness = 500 if rng.random() < 0.25 else 100
+        work = KINDS[kind] * math.exp(rng.gauss(0.0, SPREAD)) * slowness / 100
+        if fill > KNEE:
+            work *= knee_factor
+        finder.record(kind, work, fill, slowness, start + step / 50)
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(
+    ("knee_factor", "expected"), [(1.7, REDUCED_SHARE), (1.0, FULL_SHARE)]
+)
+def test_the_kind_of_server_shows_within_seconds(knee_factor, expected, seed):
+    finder = LimitFinder()
+    play(finder, knee_factor, seed=seed)
+    assert finder.share == expected
+
+
+def test_it_looks_again_after_a_while():
+    finder = LimitFinder()
+    play(finder, 1.7)
+    assert finder.share == REDUCED_SHARE
+    play(finder, 1.0, seed=2, start=100.0 + FORGET_SECONDS)
+    assert finder.share == FULL_SHARE
+
+
+def test_few_slow_answers_decide_nothing():
+    finder = LimitFinder()
+    for _ in range(10):
+        finder.record("read", 0.07, 0.5, 100, 0.0)
+    for _ in range(MIN_FULL_SAMPLES - 1):
+        finder.record("read", 7.0, 1.0, 100, 0.0)
+    assert finder.share == FULL_SHARE
--- /dev/null
+++ b/tests/test_logwriter.py
@@ -0,0 +1,68 @@
+"""Tests of godwitrack.logwriter."""
+
+import io
+import threading
+
+import pytest
+import structlog
+
+from godwitrack.logwriter import (
+    BURST_LINES,
+    LINES_PER_SECOND,
+    MAX_QUEUED_LINES,
+    LogBudget,
+    LogWriter,
+)
+
+
+class BlockedStream(io.StringIO):
+    """A stream whose reader has stopped."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait()
+        return super().write(text)
+
+
+def count_passed(budget, count, routine=False):
+    passed = 0
+    for _ in range(count):
+        try:
+            budget(None, "info", {"event": "x", "routine": routine})
+            passed += 1
+        except structlog.DropEvent:
+            continue
+    return passed
+
+
+@pytest.mark.parametrize("seconds", [0, 1, 3])
+def test_lines_stay_within_the_budget(clock, seconds):
+    budget = LogBudget(clock.read_monotonic)
+    passed = count_passed(budget, 10 * BURST_LINES)
+    for _ in range(seconds):
+        clock.advance(1.0)
+        passed += count_passed(budget, 10 * BURST_LINES)
+    assert passed == BURST_LINES + seconds * LINES_PER_SECOND
+
+
+def test_failures_go_before_successes(clock):
+    budget = LogBudget(clock.read_monotonic)
+    assert count_passed(budget, 10 * BURST_LINES, routine=True) < BURST_LINES
+    assert count_passed(budget, 10) == 10
+    assert budget.take_dropped() > 0
+    assert budget.take_dropped() == 0
+
+
+def test_a_reader_that_stopped_holds_nobody_up():
+    stream = BlockedStream()
+    budget = LogBudget()
+    writer = LogWriter(stream, budget)
+    for number in range(3 * MAX_QUEUED_LINES):
+        writer.write(f"{number}\n")
+    assert budget.take_dropped() >= MAX_QUEUED_LINES
+    stream.released.set()
+    assert writer.drain(10.0)
+    assert stream.getvalue().startswith("0\n")
--- a/tests/test_retryshare.py
+++ b/tests/test_retryshare.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitrack_node.retryshare import RetryLimits, RetryShare
+from godwitrack_node.retryshare import RUN_COST, RetryLimits, RetryShare
 
 RATIO = 0.2
 WINDOW_SECONDS = 10.0
@@ -37,3 +37,15 @@
     assert share.withdraw("scenbok")
     assert not share.withdraw("scenbok")
     assert share.withdraw("styrning")
+
+
+def test_a_repeated_run_costs_its_calls_too(clock):
+    """Seen as calls of repeated runs that broke another service's budget (BUDGET)."""
+    shed, ran = (
+        RetryShare(clock, RetryLimits(RATIO, WINDOW_SECONDS, SLACK), lambda: 1)
+        for _ in range(2)
+    )
+    sheds = sum(shed.withdraw("scenbok") for _ in range(1000))
+    runs = sum(ran.withdraw("scenbok", RUN_COST) for _ in range(1000))
+    assert runs * RUN_COST <= sheds <= SLACK
+    assert runs > 0
