Explain a request from its id: explain-request, the operators' page, its three walks

Cause: on-call engineers have only logs and metrics, and nothing led from an id to why its request failed. Ruled out: a store of requests in the node (nothing may be kept on a VM).

--- a/packages/godwitrack/src/godwitrack/logs.py
+++ b/packages/godwitrack/src/godwitrack/logs.py
@@ -10,7 +10,7 @@
 LEVELS = ("debug", "info", "warning", "error")
 
 
-def configure_logs(form, level, stream=None, budget=None):
+def configure_logs(form, level, stream=None, budget=None, node=None):
     """Set up structlog for the whole process.
 
     Args:
@@ -18,7 +18,14 @@
         level: Lowest level that is printed, one of LEVELS.
         stream: Text file to print to; standard error by default.
         budget: LogBudget, or None where every line is written.
+        node: Name of the node to put on every line, or None.
     """
+
+    def add_node(logger, method, event):
+        if node is not None:
+            event.setdefault("node", node)
+        return event
+
     if form == "json":
         renderer = structlog.processors.JSONRenderer()
     else:
@@ -27,6 +34,7 @@
         processors=[
             budget or _drop_routine_mark,
             structlog.contextvars.merge_contextvars,
+            add_node,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
@@ -30,6 +30,8 @@
     "service": ("string", None, "Name of the service."),
     "method": ("string", "GET", "HTTP method."),
     "path": ("string", "/", "Path within the service."),
+    "request": ("string", None, "Id of the request."),
+    "logs": ("string", None, "Log files, by commas; standard input by default."),
 }
 COMMON = ("node", "token_file", "json")
 
@@ -72,6 +74,9 @@
         ("customer", "service", "method", "path"),
         ("customer", "service"),
     ),
+    "explain-request": Command(
+        "explain_request", ("request", "logs"), ("request",), needs_node=False
+    ),
 }
 
 
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
@@ -1,15 +1,18 @@
 """The subcommands of the operators' client."""
 
+import contextlib
 import getpass
 import json
+import sys
 import time
 import uuid
 
 from godwitrack.configuration import find_differences
-from godwitrack.exceptions import GodwitrackError, StoreError
+from godwitrack.exceptions import GodwitrackError, SettingsError, StoreError
 from godwitrack.plans import read_lists
 from godwitrack_ctl.client import NodeRefused
 from godwitrack_ctl.printing import format_differences, format_table
+from godwitrack_ctl.requesttrace import explain_end, read_trace
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -45,6 +48,20 @@
             self.write(f"{key}: {json.dumps(record, sort_keys=True)}")
         return EXIT_DONE
 
+    def explain_request(self):
+        """Show a request's way through the nodes, from their logs."""
+        trace = read_trace(_read_log_lines(self.values.logs), self.values.request)
+        if not trace:
+            raise SettingsError(f"the logs do not hold request {self.values.request}")
+        verdict = explain_end(trace)
+        if self.values.json:
+            lines = [line.format() for line in trace]
+            return self._write_json({"lines": lines, "verdict": verdict})
+        for line in trace:
+            self.write(line.format())
+        self.write(verdict)
+        return EXIT_DONE
+
     def check_plans(self):
         """Check the two lists in files; nothing is changed."""
         records = self._read_lists()
@@ -302,3 +319,21 @@
 
 def _list_out(data):
     return [*data["data_centres_out"], *data["servers_out"]]
+
+
+def _read_log_lines(paths):
+    """Yield the lines of log files, or of the standard input.
+
+    Args:
+        paths: Paths, by commas; "" or None for the standard input.
+    """
+    if not paths:
+        yield from sys.stdin
+        return
+    for path in paths.split(","):
+        try:
+            file = open(path, encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise SettingsError(f"{path}: can't be read: {error.strerror}") from None
+        with contextlib.closing(file):
+            yield from file
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,13 +6,14 @@
 
 from godwitrack.exceptions import ERROR_ANSWERS
 from godwitrack.settings import OPTIONS
+from godwitrack_node.requestcounts import COUNTERS, GAUGES
 
 DOCS = pathlib.Path(__file__).parents[1] / "docs"
 
 
 @pytest.mark.parametrize("option", OPTIONS, ids=lambda option: option.path)
 def test_each_setting_is_described(option):
-    lines = (DOCS / "OPERATING.md").read_text().splitlines()
+    lines = (DOCS / "OPERATIONS.md").read_text().splitlines()
     assert any(
         line.startswith(f"| `{option.path}` |") and option.text in line
         for line in lines
@@ -25,3 +26,10 @@
     words = ["yes" if value else "no" for value in (answer.not_run, answer.repeatable)]
     row = f"| `{kind.value}` | {answer.status} | {' | '.join(words)} |"
     assert row in (DOCS / "CALLERS.md").read_text().splitlines()
+
+
+@pytest.mark.parametrize("metric", [*COUNTERS, *GAUGES])
+def test_each_metric_of_a_hosted_node_is_described(metric):
+    page = (DOCS / "OPERATIONS.md").read_text()
+    hosted = page.partition("## A hosted node")[2]
+    assert f"| `{metric}` |" in hosted
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,182 @@
+"""From a request's id to its cause: failures of real processes, by their logs."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from godwitrack.settings import Address
+from godwitrack_ctl.cmdline import main
+from platformstand import (
+    AppStand,
+    StoreStand,
+    find_free_ports,
+    make_config,
+    make_request_headers,
+    make_route,
+    make_service,
+    send,
+    wait_for,
+)
+
+ROOT = pathlib.Path(__file__).parents[1]
+SETTINGS = """
+nodeName = "node-1"
+ip = "127.0.0.1"
+zone = "dc-a"
+region = "north"
+internalPorts = [{links},{links}]
+heartbeatS = 0.3
+appAddr = "{app}"
+service = "scenbok"
+[listenAddrs]
+outbound = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{readiness}"
+control = "127.0.0.1:{reports}"
+[bounds]
+graceS = 6
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 64
+[platform]
+address = "{store}"
+"""
+REPORT = (
+    '{{"address":"{address}","born":{born},"info":{{"service":"scenbok","version":"v1",'
+    '"zone":"dc-a","capacity":{slots}}},"status":{{"state":"ready","sequence":{number},'
+    '"warmupLeftS":0}}}}'
+)
+
+
+class NodeProcess:
+    """A node as a process of its own, with its log in a file."""
+
+    def __init__(self, folder):
+        self._executor = ThreadPoolExecutor(100)
+        self.store = StoreStand(self._executor)
+        self.app = AppStand(self._executor, "scenbok", "i-1")
+        self.app.slots = 1
+        ports = find_free_ports(4)
+        self.callers, self.readiness, self.reports = (
+            Address("127.0.0.1", port) for port in ports[:3]
+        )
+        path = folder / "local.toml"
+        path.write_text(
+            SETTINGS.format(
+                callers=ports[0],
+                readiness=ports[1],
+                reports=ports[2],
+                links=ports[3],
+                app=self.app.address,
+                store=self.store.address,
+            )
+        )
+        self.log = folder / "node.log"
+        with open(self.log, "wb") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "start.py")],
+                stdout=output,
+                env={**os.environ, "GODWITRACK_CONFIG": str(path)},
+            )
+
+    def put_routes(self, version, *names):
+        routes = [
+            make_route(name, f"/{name}/", "scenbok", "non_idempotent", sloS=0.4)
+            for name in names
+        ]
+        service = make_service("scenbok")
+        self.store.put("op", "config", make_config(version, *routes, service))
+
+    def wait_ready(self):
+        wait_for(self._is_ready)
+        self.app.sequence += 1
+        body = REPORT.format(
+            address=self.app.address,
+            born=self.app.born,
+            slots=self.app.slots,
+            number=self.app.sequence,
+        ).encode()
+        path = f"/-/instances/{self.app.instance}"
+        assert send(self.reports, "PUT", path, body=body).status == 200
+        wait_for(lambda: self.ask("ready", "/write/1") == 200)
+
+    def ask(self, request_id, path):
+        headers = make_request_headers(request_id)
+        return send(self.callers, "POST", path, headers=headers).status
+
+    def stop(self):
+        self._process.send_signal(signal.SIGTERM)
+        status = self._process.wait(20)
+        self.app.close()
+        self.store.close()
+        self._executor.shutdown(wait=False)
+        return status
+
+    def _is_ready(self):
+        try:
+            return send(self.readiness, "GET", "/-/ready").status == 200
+        except OSError:
+            return False
+
+
+@pytest.fixture
+def process(tmp_path):
+    process = NodeProcess(tmp_path)
+    process.put_routes(4, "write")
+    process.wait_ready()
+    yield process
+    assert process.stop() == 0
+
+
+def explain(process, capsys, request_id):
+    arguments = ["explain-request", f"--request={request_id}", f"--logs={process.log}"]
+    wait_for(lambda: main(arguments) == 0)
+    return capsys.readouterr().out
+
+
+def test_a_refusal_under_overload(process, capsys):
+    process.app.seconds = 0.5
+    statuses = {}
+
+    def ask(number):
+        statuses[number] = process.ask(f"id-{number}", "/write/1")
+
+    threads = [threading.Thread(target=ask, args=(number,)) for number in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    refused = next(number for number, status in statuses.items() if status == 503)
+    text = explain(process, capsys, f"id-{refused}")
+    assert "call refused" in text and "kind=server_busy" in text
+    assert "limit=1" in text and "in_flight=1" in text
+    assert "ended with 503 (no_room) at node-1: It did not run." in text
+    assert f"id-{refused}" not in [found for found, _ in process.app.runs]
+
+
+def test_a_write_with_unknown_outcome(process, capsys):
+    process.app.behave = lambda request_id, connection, sock: False
+    assert process.ask("lost-1", "/write/1") == 502
+    text = explain(process, capsys, "lost-1")
+    assert "call refused" in text and "detail=the answer broke off" in text
+    assert "ended with 502 (outcome_unknown) at node-1: It may have run" in text
+
+
+def test_a_request_refused_by_other_routes(process, capsys):
+    process.put_routes(9, "other")
+    wait_for(lambda: process.ask("gone-1", "/write/1") == 404)
+    text = explain(process, capsys, "gone-1")
+    assert "revision=9" in text
+    assert "ended with 404 (unknown_route) at node-1: It did not run." in text
+
+
+@pytest.mark.parametrize("request_id", ["never", "id"])
+def test_a_request_that_the_logs_do_not_hold(process, capsys, request_id):
+    arguments = ["explain-request", f"--request={request_id}", f"--logs={process.log}"]
+    assert main(arguments) == 2
+    assert "the logs do not hold" in capsys.readouterr().err
