--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -22,7 +22,7 @@
 from godwitrack_node.placing import Placer
 from godwitrack_node.registration import Registration
 from godwitrack_node.requestcounts import MetricsHandler, RequestCounts
-from godwitrack_node.retryshare import RetryShare
+from godwitrack_node.retryshare import RetryLimits, RetryShare
 from godwitrack_node.roster import Roster
 from godwitrack_node.routes import Routes
 from godwitrack_node.routing import Location
@@ -37,6 +37,7 @@
 # Callers are sent elsewhere two missed questions, a second apart, after a stop begins.
 NOTICE_SECONDS = 2.6
 EXPIRE_LINKS_SECONDS = 5.0
+RELOADED = frozenset(("retry_limits", "stop_seconds"))
 
 
 class HostedSettings:
@@ -80,6 +81,13 @@
         for name in self.__slots__:
             setattr(self, name, values[name])
 
+    def is_like(self, other, name):
+        """Tell whether another HostedSettings has the same value of a setting."""
+        own, others = getattr(self, name), getattr(other, name)
+        if isinstance(own, RetryLimits):
+            return own.is_like(others)
+        return own == others
+
 
 class Adapter:
     """The platform's side of a hosted node.
@@ -157,6 +165,22 @@
         """Wait until a stop is asked for; returns whether it was."""
         return self._stop_asked.wait(timeout)
 
+    def reload(self, settings):
+        """Take over what changed in the settings and can change while running.
+
+        Args:
+            settings: HostedSettings.
+        """
+        changed = [
+            name
+            for name in HostedSettings.__slots__
+            if not settings.is_like(self._settings, name)
+        ]
+        self._share.set_limits(settings.retry_limits)
+        self._settings.stop_seconds = settings.stop_seconds
+        later = sorted(set(changed) - RELOADED)
+        self._log.info("settings reloaded", changed=changed, after_restart=later)
+
     def stop(self):
         """Finish the work in flight and stop; returns the requests cut off."""
         self._log.info("node stopping", node=self.identity.name)
@@ -194,6 +218,7 @@
         own_address = str(settings.links)
         roster = Roster(clock)
         share = RetryShare(clock, settings.retry_limits, roster.count_nodes)
+        self._share = share
         pool = LinkPool(clock, authenticator, CONNECT_TIMEOUT_SECONDS)
         scheduler = Scheduler(clock, executor)
         scheduler.add(EXPIRE_LINKS_SECONDS, pool.expire)
--- a/packages/godwitrack_node/src/godwitrack_node/retryshare.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retryshare.py
@@ -29,6 +29,11 @@
         self.window = window
         self.slack = slack
 
+    def is_like(self, other):
+        """Tell whether other RetryLimits are the same."""
+        names = self.__slots__
+        return all(getattr(self, name) == getattr(other, name) for name in names)
+
 
 class RetryShare:
     """Counts requests and retries of a window for each service."""
@@ -48,6 +53,11 @@
         self._requests = {}
         self._retries = {}
 
+    def set_limits(self, limits):
+        """Take over other RetryLimits."""
+        with self._lock:
+            self._limits = limits
+
     def note_request(self, service):
         """Count the first attempt of a request."""
         with self._lock:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,7 +65,7 @@
         self.callers, self.readiness, self.reports = (
             Address("127.0.0.1", port) for port in ports[:3]
         )
-        path = folder / "local.toml"
+        path = self.settings = folder / "local.toml"
         path.write_text(
             SETTINGS.format(
                 callers=ports[0],
@@ -109,6 +109,9 @@
         headers = make_request_headers(request_id)
         return send(self.callers, "POST", path, headers=headers).status
 
+    def signal(self, number):
+        self._process.send_signal(number)
+
     def stop(self):
         self._process.send_signal(signal.SIGTERM)
         status = self._process.wait(20)
@@ -180,3 +183,19 @@
     arguments = ["explain-request", f"--request={request_id}", f"--logs={process.log}"]
     assert main(arguments) == 2
     assert "the logs do not hold" in capsys.readouterr().err
+
+
+def test_a_reload_is_logged_and_stops_nothing(process):
+    """A signal without a handler would end the node."""
+    process.signal(signal.SIGHUP)
+    wait_for(lambda: "settings reloaded" in process.log.read_text())
+    assert process.ask("after", "/write/1") == 200
+
+
+def test_a_changed_file_is_read_without_a_signal(process):
+    text = process.settings.read_text()
+    process.settings.write_text(text.replace("budgetSlack = 64", "budgetSlack = 32"))
+    wait_for(lambda: '"changed": ["retry_limits"]' in process.log.read_text())
+    process.settings.write_text("nothing")
+    wait_for(lambda: "settings not reloaded" in process.log.read_text())
+    assert process.ask("after", "/write/1") == 200
