One type for a whole HTTP answer; split links and the backend client; reborn ids

By reading: a process that starts again under the id with which it had left was never served again. Change: HttpAnswer, ActiveRequests, watch and instanceexchange as modules of their own; a final word covers only processes born before it, by a test that failed first. Ruled out: dropping ids after a time (a late report could revive a process that left). Conclusion: behaviour is the same but for reborn ids.

--- a/packages/godwitrack_node/src/godwitrack_node/dialect.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dialect.py
@@ -4,32 +4,16 @@
 import json
 
 from godwitrack.exceptions import ERROR_ANSWERS, ErrorKind, RequestError
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.context import ERROR_HEADER, REQUEST_ID_HEADER
 
 
-class Refusal:
-    """An error answer for a caller.
-
-    Attributes:
-        status: HTTP status.
-        headers: List of pairs of texts.
-        body: Bytes.
-    """
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class CallerDialect(abc.ABC):
     """What the callers' port reads from requests and writes in refusals."""
 
     @abc.abstractmethod
     def write_refusal(self, error, request_id):
-        """Return the Refusal that tells a caller of a RequestError.
+        """Return the HttpAnswer that tells a caller of a RequestError.
 
         Args:
             error: RequestError.
@@ -76,7 +60,7 @@
 
     @abc.abstractmethod
     def owns(self, answer, caller_id):
-        """Tell whether an InstanceAnswer belongs to the request with this id."""
+        """Tell whether an HttpAnswer belongs to the request with this id."""
 
     @abc.abstractmethod
     def is_unrun(self, answer):
@@ -107,7 +91,7 @@
     """The product's own interface: error answers as JSON objects."""
 
     def write_refusal(self, error, request_id):
-        """Return the Refusal with kind, text and what the caller may do."""
+        """Return the HttpAnswer with kind, text and what the caller may do."""
         if error.kind is ErrorKind.HEAD_TOO_LARGE:
             # Callers of this interface have always been told 400 here.
             error = RequestError(ErrorKind.BAD_REQUEST, error.detail)
@@ -128,4 +112,4 @@
         ]
         if request_id:
             headers.append((REQUEST_ID_HEADER, request_id))
-        return Refusal(answer.status, headers, body)
+        return HttpAnswer(answer.status, headers, body)
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -4,10 +4,11 @@
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
 from godwitrack.messages import Load
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.exchange import LinkSink, PartCollector
 from godwitrack_node.httpserver import HOP_HEADERS
 from godwitrack_node.instance import InstanceClient, InstanceRequest
-from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+from godwitrack_node.ledger import Ledger, OutcomeState
 from godwitrack_node.pacing import PartSender
 from godwitrack_node.waiting import Entrant, WaitingRoom
 
@@ -101,7 +102,7 @@
             incarnation: Incarnation to which it was sent.
 
         Returns:
-            OutcomeState and KeptAnswer or None.
+            OutcomeState and HttpAnswer or None.
         """
         entry = self.ledger.query(request_id)
         is_own = incarnation == self._identity.incarnation
@@ -198,7 +199,7 @@
             )
 
     def _send(self, call, source, deadline):
-        """Return the backend server's InstanceAnswer."""
+        """Return the backend server's HttpAnswer."""
         instance = self._registration.instance
         left = deadline - self._clock.read_monotonic()
         headers = self._dialect.make_headers(call, instance, max(left, 0.001))
@@ -246,7 +247,7 @@
         ]
         kept = None
         if not call.idempotent and len(answer.body) <= KEPT_BODY_BYTES:
-            kept = KeptAnswer(answer.status, headers, answer.body)
+            kept = HttpAnswer(answer.status, headers, answer.body)
         self.ledger.finish(call.request_id, kept)
         collector = PartCollector(sink, HOP_HEADERS, len(answer.body) + 1)
         collector.take_head(answer.status, headers, len(answer.body))
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -14,6 +14,7 @@
 from godwitrack.messages import Load
 from godwitrack.plans import RequestClass
 from godwitrack_node.admission import Admission
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.backend import BackendClient, BackendRequest
 from godwitrack_node.context import (
     CONTEXT_HEADER,
@@ -24,7 +25,7 @@
 )
 from godwitrack_node.exchange import LinkSink, PartCollector
 from godwitrack_node.httpserver import HOP_HEADERS
-from godwitrack_node.ledger import KeptAnswer, Ledger, OutcomeState
+from godwitrack_node.ledger import Ledger, OutcomeState
 from godwitrack_node.pacing import PartSender
 from godwitrack_node.tickets import Ticket
 
@@ -103,7 +104,7 @@
             incarnation: Incarnation to which it was sent.
 
         Returns:
-            OutcomeState and KeptAnswer or None.
+            OutcomeState and HttpAnswer or None.
         """
         if incarnation != self._identity.incarnation:
             return OutcomeState.UNKNOWN, None
@@ -248,7 +249,7 @@
         """Record the answer before its last part goes out."""
         kept = None
         if not call.idempotent and collector.has_whole:
-            kept = KeptAnswer(
+            kept = HttpAnswer(
                 collector.status, collector.headers, collector.peek_whole()
             )
         self.ledger.finish(call.request_id, kept)
--- a/packages/godwitrack_node/src/godwitrack_node/hostports.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostports.py
@@ -5,29 +5,13 @@
 from godwitrack.exceptions import CallerGone, RequestError
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.httpserver import ConnectionServer, HttpConnection
 
 CONNECTIONS = 32
 MAX_BODY_BYTES = 64 * 1024
 
 
-class PortAnswer:
-    """An answer of a port.
-
-    Attributes:
-        status: HTTP status.
-        headers: List of pairs of texts.
-        body: Bytes.
-    """
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status, body=b"", headers=()):
-        self.status = status
-        self.body = body
-        self.headers = list(headers)
-
-
 class PortHandler(abc.ABC):
     """Answers the requests of one port."""
 
@@ -36,7 +20,7 @@
 
     @abc.abstractmethod
     def answer(self, method, target, body):
-        """Return the PortAnswer to a request.
+        """Return the HttpAnswer to a request.
 
         Args:
             method: HTTP method.
@@ -139,5 +123,5 @@
         """Return 200 or 503 to any request."""
         is_ready = self._routes.is_ready and bool(self._roster.list_members())
         if self._is_stopping or not is_ready:
-            return PortAnswer(503)
-        return PortAnswer(200)
+            return HttpAnswer(503)
+        return HttpAnswer(200)
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -8,9 +8,9 @@
 import httptools
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
-from godwitrack.link import Watch
 from godwitrack.logs import find_logger
 from godwitrack.routetable import CallerLimits
+from godwitrack.watch import Watch
 
 RECEIVE_BYTES = 64 * 1024
 READ_TIMEOUT_SECONDS = 20.0
--- a/packages/godwitrack_node/src/godwitrack_node/ledger.py
+++ b/packages/godwitrack_node/src/godwitrack_node/ledger.py
@@ -27,7 +27,7 @@
     Attributes:
         state: OutcomeState.
         created: Monotonic time at which it was entered, in seconds.
-        answer: KeptAnswer, or None.
+        answer: HttpAnswer, or None.
     """
 
     __slots__ = ("answer", "created", "state")
@@ -38,23 +38,6 @@
         self.answer = None
 
 
-class KeptAnswer:
-    """An answer kept for an entry node whose link was lost.
-
-    Attributes:
-        status: HTTP status.
-        headers: List of pairs of texts.
-        body: Bytes.
-    """
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class Ledger:
     """Remembers each request that must not run twice, for RETENTION_SECONDS.
 
@@ -109,7 +92,7 @@
 
         Args:
             request_id: Id of a claimed request.
-            answer: KeptAnswer, or None where it was too large to keep.
+            answer: HttpAnswer, or None where it was too large to keep.
         """
         with self._lock:
             entry = self._entries.get(request_id)
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -18,16 +18,16 @@
     RoutedCall,
     check_headers,
 )
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.exchange import LinkSource
 from godwitrack_node.httpserver import ConnectionServer
-from godwitrack_node.ledger import KeptAnswer
 from godwitrack_node.peers import Session
 
 HANDSHAKE_SECONDS = 5.0
 IDLE_SECONDS = 60.0
 SEND_SECONDS = 20.0
 MAX_LINKS = 4096
-NO_ANSWER = KeptAnswer(0, [], b"")
+NO_ANSWER = HttpAnswer(0, [], b"")
 
 
 class LinkServer(Service):
--- a/packages/godwitrack_node/src/godwitrack_node/metrics.py
+++ b/packages/godwitrack_node/src/godwitrack_node/metrics.py
@@ -1,12 +1,11 @@
 """Metrics in the Prometheus format, with histograms for each customer and class."""
 
 import collections
-import contextlib
 import threading
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from godwitrack.kernel import Service
+from godwitrack_node.activerequests import ActiveRequests
 
 MAX_CUSTOMERS = 200
 OTHER_CUSTOMER = "other"
@@ -60,18 +59,18 @@
         self.seconds = seconds
 
 
-class Metrics(Service):
+class Metrics(ActiveRequests):
     """Counts requests; the request path only appends to a queue."""
 
     name = "metrics"
 
     def __init__(self, clock, budget, lease):
+        super().__init__()
         self._clock = clock
         self._budget = budget
         self._lease = lease
         self._pending = collections.deque(maxlen=PENDING_LIMIT)
         self._lock = threading.Lock()
-        self._active = 0
         self._customers = set()
         self._kernel = None
         self._registry = Registry()
@@ -82,22 +81,6 @@
         self._kernel = kernel
         kernel.find("scheduler").add(FLUSH_SECONDS, self.flush)
 
-    @property
-    def active(self):
-        """Callers' requests in progress."""
-        return self._active
-
-    @contextlib.contextmanager
-    def track_request(self):
-        """Count a caller's request as in progress."""
-        with self._lock:
-            self._active += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._active -= 1
-
     def record_request(self, errand):
         """Count a request that ended."""
         seconds = self._clock.read_monotonic() - errand.received_at
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -120,7 +120,7 @@
         self._sequence = -1
         self._slots = 1
         self._is_leaving = False
-        self._left = set()
+        self._left = {}
         self._cold_until = 0.0
         self._heard_at = None
         self._probed_at = 0.0
@@ -174,7 +174,7 @@
             if report.service != self._identity.service:
                 self._log.warning("report of another service", service=report.service)
                 return False
-            if report.address != self._address or report.instance in self._left:
+            if report.address != self._address or self._has_left(report):
                 return False
             is_new = report.born > self._born
             self._born, self._sequence = report.born, report.sequence
@@ -198,7 +198,7 @@
     def take_leave(self, instance):
         """Note that a process of the backend server leaves for good."""
         with self._lock:
-            self._left.add(instance)
+            self._left[instance] = self._clock.read_wall() * 1000
             if instance != self.instance and self.instance:
                 return
             self.instance, self._is_leaving = instance, True
@@ -224,6 +224,11 @@
         self._is_stopping = True
         self._note_change("stop")
 
+    def _has_left(self, report):
+        """Tell whether a report is of a process that has said its last word."""
+        left_at = self._left.get(report.instance)
+        return left_at is not None and report.born <= left_at
+
     def _set_cold(self, seconds):
         now = self._clock.read_monotonic()
         self._cold_until = now + seconds + COLD_MARGIN_SECONDS if seconds > 0 else 0.0
--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -5,11 +5,11 @@
 """
 
 import bisect
-import contextlib
 import threading
 
-from godwitrack.kernel import Service
-from godwitrack_node.hostports import PortAnswer, PortHandler
+from godwitrack_node.activerequests import ActiveRequests
+from godwitrack_node.answer import HttpAnswer
+from godwitrack_node.hostports import PortHandler
 
 MAX_ROUTES = 200
 OTHER_ROUTE = "other"
@@ -52,15 +52,15 @@
         self.seconds += seconds
 
 
-class RequestCounts(Service):
+class RequestCounts(ActiveRequests):
     """Counts requests by their end."""
 
     name = "metrics"
 
     def __init__(self, clock):
+        super().__init__()
         self._clock = clock
         self._lock = threading.Lock()
-        self._active = 0
         self._tallies = {}
         self._statuses = {}
         self._errors = {}
@@ -73,22 +73,6 @@
         """Keep the kernel, whose services tell the node's state."""
         self._kernel = kernel
 
-    @property
-    def active(self):
-        """Callers' requests in progress."""
-        return self._active
-
-    @contextlib.contextmanager
-    def track_request(self):
-        """Count a caller's request as in progress."""
-        with self._lock:
-            self._active += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._active -= 1
-
     def record_request(self, errand):
         """Count a request that ended."""
         seconds = self._clock.read_monotonic() - errand.received_at
@@ -170,7 +154,7 @@
             "links_opened": self._kernel.find("link-pool").opened,
             "serving": int(registration.is_serving),
             "suspect": int(registration.is_suspect),
-            "active": self._active,
+            "active": self.active,
         }
 
     def _bound_route(self, name):
@@ -196,7 +180,7 @@
     def answer(self, method, target, body):
         """Return the metrics as text to any request."""
         text, headers = self._counts.render()
-        return PortAnswer(200, text, headers.items())
+        return HttpAnswer(200, headers.items(), text)
 
 
 def _count(table, key):
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -9,8 +9,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from godwitrack.exceptions import CallerGone, RequestError
-from godwitrack.link import Watch
 from godwitrack.settings import Address
+from godwitrack.watch import Watch
 from godwitrack_node.hostednode import HostedNode, HostedSettings
 from godwitrack_node.httpserver import ConnectionServer, HttpConnection
 from godwitrack_node.retryshare import RetryLimits
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -149,6 +149,19 @@
     assert not machine.app.runs
 
 
+def test_a_process_that_starts_again_under_its_id_is_served(fleet):
+    machine = fleet.machines[1]
+    machine.app.is_healthy = False
+    assert machine.leave() == 200
+    assert machine.report() == 200
+    assert ask(fleet.machines[0], "/lamp/1", "r1").status == 503
+    time.sleep(0.01)
+    machine.app.born = int(time.time() * 1000)
+    machine.app.sequence = 0
+    machine.app.is_healthy = True
+    wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "r2").status == 200)
+
+
 def test_an_older_report_changes_nothing(fleet):
     machine = fleet.machines[1]
     machine.app.is_healthy = False
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -9,8 +9,8 @@
 
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
-from godwitrack.link import Watch
 from godwitrack.settings import Address
+from godwitrack.watch import Watch
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 
 RESET = struct.pack("ii", 1, 0)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,10 +3,10 @@
 import pytest
 
 from godwitrack.exceptions import DuplicateRequest, ErrorKind, RequestError
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.ledger import (
     KEPT_BODY_BYTES,
     RETENTION_SECONDS,
-    KeptAnswer,
     Ledger,
     OutcomeState,
 )
@@ -50,8 +50,8 @@
 
 def test_answers_are_kept_up_to_their_size(clock):
     ledger = Ledger(clock)
-    small = KeptAnswer(200, [], b"x")
-    large = KeptAnswer(200, [], b"x" * (KEPT_BODY_BYTES + 1))
+    small = HttpAnswer(200, [], b"x")
+    large = HttpAnswer(200, [], b"x" * (KEPT_BODY_BYTES + 1))
     for name, answer in (("small", small), ("large", large)):
         ledger.claim(name)
         ledger.finish(name, answer)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,8 +6,8 @@
 
 from godwitrack.exceptions import ErrorKind, RequestError, SettingsError
 from godwitrack.feed import FeedRow
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.httpserver import HttpRequest
-from godwitrack_node.instance import InstanceAnswer
 from godwitrack_platform.dialects import PlatformCallers, PlatformServers
 from godwitrack_platform.operators import PlatformOperatorsRow
 from godwitrack_platform.settings import load_platform_settings
@@ -155,7 +155,7 @@
 
 def make_answer(status, **headers):
     pairs = [[name.replace("_", "-"), value] for name, value in headers.items()]
-    return InstanceAnswer(status, pairs, b"")
+    return HttpAnswer(status, pairs, b"")
 
 
 @pytest.mark.parametrize(
