Call a node's start by its incarnation, as elsewhere

Cause: Member.boot was the platform's word for what the project calls incarnation. Change: the attribute's name; no behaviour. Conclusion: one word for one thing.

--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -321,7 +321,7 @@
         return RoutedCall(
             f"{errand.attempt_prefix}.{errand.attempts}",
             errand.request_id,
-            member.boot,
+            member.incarnation,
             errand.revision,
             errand.service,
             self._identity.service,
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -8,7 +8,7 @@
 import math
 import random
 
-# Reports are out of date as soon as the speed of a shared machine changes.
+# Reports are out of date as soon as the speed of a shared VM changes.
 REPORT_FADE_SECONDS = 0.3
 SPEED_FADE_SECONDS = 0.15
 OTHER_DATA_CENTRE_COST = 2.0
@@ -34,13 +34,13 @@
         slots: Requests that the backend server works on at once.
         is_serving: Whether new work may be sent to the backend server.
         instance: Id of the backend server's process, or "".
-        boot: Number of the node's start.
+        incarnation: Number of the node's start.
         version: Version of the row that says so.
     """
 
     __slots__ = (
         "address",
-        "boot",
+        "incarnation",
         "data_centre",
         "instance",
         "is_serving",
@@ -59,7 +59,7 @@
         slots,
         is_serving,
         instance,
-        boot,
+        incarnation,
         version=0,
     ):
         self.address = address
@@ -69,7 +69,7 @@
         self.slots = slots
         self.is_serving = is_serving
         self.instance = instance
-        self.boot = boot
+        self.incarnation = incarnation
         self.version = version
 
     def is_like(self, other):
--- a/packages/godwitrack_node/src/godwitrack_node/roster.py
+++ b/packages/godwitrack_node/src/godwitrack_node/roster.py
@@ -59,7 +59,7 @@
 
     def _keep_view(self, member):
         view = self._views.get(member.address)
-        if view is None or view.member.boot != member.boot:
+        if view is None or view.member.incarnation != member.incarnation:
             return MemberView(member)
         view.member = member
         return view
@@ -75,7 +75,7 @@
             member.slots,
             member.is_serving,
             member.instance,
-            member.boot,
+            member.incarnation,
         ]
     )
 
@@ -91,7 +91,7 @@
         return None
     if any(type(v) is not kind for v, kind in zip(data, MEMBER_SHAPE, strict=True)):
         return None
-    service, region, data_centre, slots, is_serving, instance, boot = data
+    service, region, data_centre, slots, is_serving, instance, incarnation = data
     return Member(
         row.key,
         service,
@@ -100,6 +100,6 @@
         slots,
         is_serving,
         instance,
-        boot,
+        incarnation,
         row.version,
     )
