Drop the mark of returning callers, which nothing could set

Cause: no header tells that a caller was refused before, so the mark was always false. Change: it is gone from calls and the waiting room, with its row of the order's table; the other rows stay. Ruled out: guessing it from ids or addresses.

--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -288,7 +288,6 @@
         ("headers", list),
         ("idempotent", bool),
         ("is_nested", bool),
-        ("is_return", bool),
         ("regions", list),
         ("priority", int),
         ("objective_ms", float),
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -330,7 +330,6 @@
             self._dialect.list_forwarded(request),
             route.idempotent,
             errand.is_nested,
-            False,
             sorted(route.regions),
             route.priority,
             route.objective * 1000.0,
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -160,7 +160,6 @@
             call.objective_ms / 1000.0,
             deadline,
             call.is_nested,
-            call.is_return,
         )
         self.room.acquire(entrant, source.watch)
         is_answered = False
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -154,11 +154,6 @@
         """Whether the backend server takes new work."""
         return bool(self.instance) and not self._is_leaving and not self._is_stopping
 
-    @property
-    def slots(self):
-        """Requests that the backend server works on at once."""
-        return self._slots
-
     def find_cold_rate(self):
         """Return the requests a second that it bears now, or None when warm."""
         if self._clock.read_monotonic() >= self._cold_until:
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -29,7 +29,6 @@
     Attributes:
         priority: Rank, 0 for the most urgent.
         is_nested: Whether a request that already runs waits for it.
-        is_return: Whether its caller was refused before.
         objective: Time within which its answer is worth most, in seconds.
         deadline: Monotonic time after which nobody waits for it, in seconds.
         arrived_at: Monotonic time of its arrival.
@@ -43,7 +42,6 @@
         "arrived_at",
         "deadline",
         "is_nested",
-        "is_return",
         "objective",
         "priority",
         "refusal",
@@ -51,12 +49,11 @@
         "started_at",
     )
 
-    def __init__(self, priority, objective, deadline, is_nested=False, is_return=False):
+    def __init__(self, priority, objective, deadline, is_nested=False):
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
         self.is_nested = is_nested
-        self.is_return = is_return
         self.arrived_at = 0.0
         self.started_at = None
         self.running = 0
@@ -67,7 +64,7 @@
     def order(self):
         """Sort key by which waiting requests start, lowest first."""
         step = self.priority * PRIORITY_STEP_SHARE * self.objective
-        return (not self.is_nested, not self.is_return, self.arrived_at + step)
+        return (not self.is_nested, self.arrived_at + step)
 
     @property
     def wait_until(self):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -57,7 +57,6 @@
     [
         ({"priority": 2}, {"priority": 1}),
         ({"is_nested": False}, {"is_nested": True}),
-        ({"is_return": False}, {"is_return": True}),
     ],
     ids=str,
 )
