Let a node that knows nothing take old content from others

Cause: with the store away, each node's content is older than MAX_AGE_SECONDS after two seconds; a node that starts then refused every page as "behind" and stayed unready. The red hosted test failed only where its restart came later than that. Ruled out: probing (the others' reads arrived), the link pool, the order of sources. Change: is_acceptable decides; age counts only where something is known already. A page of a node that knows nothing itself is refused, it was taken as confirmed now.

--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -129,6 +129,20 @@
         return 1 if member.region == self._region else 2
 
 
+def is_acceptable(table, page, after):
+    """Tell whether a FeedPage of another node may be taken over.
+
+    Args:
+        table: FeedTable.
+        page: FeedPage.
+        after: Version up to which everything is known, or -1 for nothing.
+    """
+    if page.version < max(after, 0):
+        return False
+    # While the store is away all content gets old, and is better than none.
+    return after < 0 or page.age <= MAX_AGE_SECONDS[table]
+
+
 def make_answer(table, page):
     """Return the FeedAnswer that carries a FeedPage."""
     rows = [[row.key, row.version, row.value] for row in page.rows]
--- a/packages/godwitrack_node/src/godwitrack_node/news.py
+++ b/packages/godwitrack_node/src/godwitrack_node/news.py
@@ -10,10 +10,10 @@
 from godwitrack.messages import FeedAnswer, FeedRequest
 from godwitrack_node.feedreplica import FeedReplica
 from godwitrack_node.feedsources import (
-    MAX_AGE_SECONDS,
     PeerSource,
     SourceOrder,
     StoreSource,
+    is_acceptable,
     make_answer,
 )
 
@@ -156,7 +156,7 @@
         if address:
             source = PeerSource(self._pool, address, self._own_address)
             page = source.read(table, after)
-            if page.version < after or page.age > MAX_AGE_SECONDS[table]:
+            if not is_acceptable(table, page, after):
                 raise StoreError(f"{address} is behind")
         else:
             try:
--- a/tests/test_feedreplica.py
+++ b/tests/test_feedreplica.py
@@ -6,7 +6,12 @@
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack.messages import FeedAnswer, decode_message
 from godwitrack_node.feedreplica import FeedReplica
-from godwitrack_node.feedsources import SourceOrder, make_answer, read_answer
+from godwitrack_node.feedsources import (
+    SourceOrder,
+    is_acceptable,
+    make_answer,
+    read_answer,
+)
 from godwitrack_node.placing import Member
 
 
@@ -92,6 +97,24 @@
     assert replica.age == pytest.approx(0.5)
 
 
+@pytest.mark.parametrize(
+    ("version", "age", "after", "expected"),
+    [
+        (5, 0.5, 3, True),
+        (5, 0.5, 5, True),
+        (5, 0.5, 6, False),
+        (5, 2.5, 3, False),
+        # A node that knows nothing takes what there is, also in a long outage.
+        (5, 600.0, -1, True),
+        # Nor does the other node know anything.
+        (-1, 0.0, -1, False),
+    ],
+)
+def test_which_page_of_another_node_is_taken(version, age, after, expected):
+    page = make_page([], version, age=age)
+    assert is_acceptable(FeedTable.OPERATORS, page, after) is expected
+
+
 @pytest.mark.parametrize(
     "row", [["a"], ["a", 1], ["a", "1", b""], ["a", 1, "text"], "a", [1, 1, b""]]
 )
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from godwitrack.feed import FeedTable
+from godwitrack_node.feedsources import MAX_AGE_SECONDS
 from godwitrack_node.httpserver import HttpRequest
 from platformstand import (
     Caller,
@@ -235,6 +237,18 @@
     wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "r2").status == 200)
 
 
+def test_a_node_that_starts_late_in_an_outage_learns_from_others(fleet):
+    """Seen as a node that took nothing from others, whose content was old."""
+    machine = fleet.machines[1]
+    fleet.store.is_away = True
+    time.sleep(MAX_AGE_SECONDS[FeedTable.OPERATORS] + 0.5)
+    machine.kill()
+    ask(fleet.machines[0], "/lamp/1")
+    machine.start()
+    wait_for(machine.is_ready)
+    wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "r2").status == 200)
+
+
 def test_a_lost_answer_of_the_store_does_not_lose_the_row(fleet):
     machine = fleet.machines[1]
     fleet.store.loses_answers = True
