Ask with an id of its own in the test of a refused request

The check on the end found the first. Ruled out: the product; its log held what had happened so far. Change: another id waits for the change; then one request gets 404. As strict as before. Conclusion: an id stands for one request.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -172,7 +172,8 @@
 
 def test_a_request_refused_by_other_routes(process, capsys):
     process.put_routes(9, "other")
-    wait_for(lambda: process.ask("gone-1", "/write/1") == 404)
+    wait_for(lambda: process.ask("early", "/write/1") == 404)
+    assert process.ask("gone-1", "/write/1") == 404
     text = explain(process, capsys, "gone-1")
     assert "revision=9" in text
     assert "ended with 404 (unknown_route) at node-1: It did not run." in text
