--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -50,6 +50,7 @@
         data_centre: Name of the data centre.
         callers: Address for callers.
         links: Address for links of other nodes.
+        advertised: Address at which other nodes reach it for links.
         readiness: Address for the question whether the node is ready.
         reports: Address for reports of the backend server.
         metrics: Address for metrics, or None.
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        "advertised",
         "callers",
         "data_centre",
         "links",
@@ -215,7 +217,7 @@
             clock, CONTROL_BYTES_PER_SECOND, CONTROL_BYTES_PER_SECOND
         )
         location = Location(identity.region, identity.data_centre)
-        own_address = str(settings.links)
+        own_address = str(settings.advertised)
         roster = Roster(clock)
         share = RetryShare(clock, settings.retry_limits, roster.count_nodes)
         self._share = share
@@ -226,7 +228,7 @@
             scheduler,
             RequestCounts(clock),
             pool,
-            LinkServer(executor, settings.links, authenticator, budget),
+            LinkServer(executor, settings.links, authenticator, budget, own_address),
             roster,
             News(clock, executor, adapter.store, own_address, location),
             Routes(adapter.operators_rows),
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -31,11 +31,25 @@
 
 
 class LinkServer(Service):
-    """Serves links, one thread for each."""
+    """Serves links, one thread for each.
+
+    Attributes:
+        advertised: The "host:port" at which other nodes connect.
+    """
 
     name = "link-server"
 
-    def __init__(self, executor, address, authenticator, budget):
+    def __init__(self, executor, address, authenticator, budget, advertised=""):
+        """Bind the port.
+
+        Args:
+            executor: concurrent.futures.Executor.
+            address: Address to listen on.
+            authenticator: Authenticator.
+            budget: ControlBudget.
+            advertised: The "host:port" at which other nodes connect, where it is
+                not the address to listen on.
+        """
         self._executor = executor
         self._authenticator = authenticator
         self._budget = budget
@@ -43,13 +57,10 @@
         self._guard = None
         self._membership = None
         self._metrics = None
+        host, port = self._server.address
+        self.advertised = advertised or f"{host}:{port}"
         self._log = find_logger("links")
 
-    @property
-    def advertised(self):
-        """The "host:port" at which other nodes connect."""
-        return f"{self._server.address[0]}:{self._server.address[1]}"
-
     def connect(self, kernel):
         """Find the collaborators."""
         self._guard = kernel.find("guard")
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -20,6 +20,7 @@
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.02
 REPORT_SECONDS = 0.3
+LOCAL = Address("127.0.0.1", 0)
 ZONES = {"dc-a": "north", "dc-b": "south"}
 FLEET = "fleet"
 
@@ -34,8 +35,7 @@
 class HttpStand:
     """Serves HTTP in this process; subclasses answer the requests."""
 
-    def __init__(self, executor):
-        address = Address("127.0.0.1", 0)
+    def __init__(self, executor, address=LOCAL):
         self._server = ConnectionServer(executor, address, self._serve, 500)
         host, port = self._server.address
         self.address = Address(host, port)
@@ -175,7 +175,7 @@
             whether the connection can go on. It replaces the usual answer.
     """
 
-    def __init__(self, executor, service, instance):
+    def __init__(self, executor, service, instance, address=LOCAL):
         self.service = service
         self.instance = instance
         self.born = int(time.time() * 1000)
@@ -188,7 +188,7 @@
         self.headers = []
         self.gone = threading.Event()
         self.behave = None
-        super().__init__(executor)
+        super().__init__(executor, address)
 
     def answer(self, request, body, connection, sock):
         if request.target == "/health":
@@ -205,8 +205,7 @@
             headers = [("Godwitrack-Instance-Id", self.instance)]
             connection.start_answer(421, headers, 0)
             return True
-        self.runs.append((request_id, time.monotonic()))
-        self.headers.append(dict(request.headers))
+        self.note_run(request, request_id, body)
         if self.behave is not None:
             return self.behave(request_id, connection, sock)
         if self.seconds and not self._work(sock):
@@ -214,6 +213,11 @@
         self.send_answer(request_id, connection, body)
         return True
 
+    def note_run(self, request, request_id, body):
+        """Record a request that runs."""
+        self.runs.append((request_id, time.monotonic()))
+        self.headers.append(dict(request.headers))
+
     def send_answer(self, request_id, connection, body=b""):
         answer = b"done " + body
         connection.start_answer(
@@ -253,6 +257,7 @@
             data_centre=data_centre,
             callers=addresses[0],
             links=addresses[1],
+            advertised=addresses[1],
             readiness=addresses[2],
             reports=addresses[3],
             metrics=None,
