--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,8 @@
 from godwitrack.exceptions import ErrorKind, RequestError, SettingsError
 from godwitrack.feed import FeedRow
 from godwitrack_node.answer import HttpAnswer
+from godwitrack_node.dispatcher import GRACE_SECONDS
+from godwitrack_node.hostednode import NOTICE_SECONDS
 from godwitrack_node.httpserver import HttpRequest
 from godwitrack_platform.dialects import PlatformCallers, PlatformServers
 from godwitrack_platform.operators import PlatformOperatorsRow
@@ -72,10 +74,23 @@
     assert str(node.callers) == "10.1.0.8:8304"
     assert str(node.server) == "10.1.0.8:8301"
     assert str(settings.store) == "10.200.1.7:8309"
-    assert node.stop_seconds < 6
+    # What is taken in the last moment of the notice may use its route's timeout.
+    assert NOTICE_SECONDS + 3.0 + GRACE_SECONDS < node.stop_seconds < 6
     assert node.retry_limits.slack == 64
 
 
+def test_own_fields_replace_what_is_derived(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    plain = load_platform_settings(path).node
+    assert plain.advertised == plain.links
+    path.write_text('advertisedLinks = "10.9.0.1:7"\nlinkSecret = "kept"\n' + SETTINGS)
+    node = load_platform_settings(path).node
+    assert str(node.advertised) == "10.9.0.1:7"
+    assert str(node.links) == "10.1.0.8:7620"
+    assert (node.secret, plain.secret == node.secret) == ("kept", False)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "text"),
     [
