Let another SIGTERM change nothing

Ruled out: the callers' path and the link; the guard had answered 200. Change: only a second SIGINT, from someone at a terminal, cuts a stop short. Conclusion: signals in series keep the promise of one.

--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -158,6 +158,10 @@
         )
 
     def ask_stop(self):
+        """Ask for a planned stop; asking again changes nothing."""
+        self._stop_asked.set()
+
+    def interrupt(self):
         """Ask for a planned stop; asked again, for one without delay."""
         if self._stop_asked.is_set():
             self._hurry.set()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -200,3 +200,19 @@
     process.settings.write_text("nothing")
     wait_for(lambda: "settings not reloaded" in process.log.read_text())
     assert process.ask("after", "/write/1") == 200
+
+
+def test_a_second_signal_cuts_nothing_off(process):
+    """Seen as a request cut off by the second stop of a series (soak seed 26)."""
+    process.app.seconds = 1.0
+    statuses = []
+    thread = threading.Thread(
+        target=lambda: statuses.append(process.ask("late", "/write/1"))
+    )
+    thread.start()
+    wait_for(lambda: process.app.runs[-1][0] == "late")
+    process.signal(signal.SIGTERM)
+    wait_for(lambda: "node stopping" in process.log.read_text())
+    process.signal(signal.SIGTERM)
+    thread.join()
+    assert statuses == [200]
