--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,13 @@
 BIN = $(VENV)/bin
 DEPLOYMENT ?= ljusgemenskapen
 SIZES ?= 10,30,60
+SEEDS ?= 1-50
+JOBS ?= 2
 TRACE ?= examples/traces/ljusgemenskapen.jsonl
 STAMP = $(VENV)/.installed
 PROJECTS = $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 
-.PHONY: help setup demo test lint format scenarios replay bench bench-control bench-parts clean
+.PHONY: help setup demo test lint format scenarios soak replay bench bench-control bench-parts clean
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -40,6 +42,9 @@
 scenarios: setup  ## Run the scripted scenarios and print their figures.
 	$(BIN)/python -m pytest scenarios -rP
 
+soak: setup  ## Play soaks with faults (SEEDS=1-50, JOBS=2).
+	PYTHONPATH=tests:soak $(BIN)/python soak/soakrun.py --seeds=$(SEEDS) --jobs=$(JOBS)
+
 replay: setup  ## Replay a trace against the policy and its baselines (TRACE=...).
 	$(BIN)/python -m godwitrack_lab.replay --trace=$(TRACE)
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,345 @@
+"""Tests of the soak: its plan, proxy and checks, and seeds that failed once."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from platformstand import Answer
+from soakcallers import CALL_KINDS, SentCall
+from soakchecks import SoakRecord, count_most
+from soakfaults import Disturbance
+from soakfleet import PLACES
+from soakplan import FaultKind, FaultStep, PathName, draw_plan
+from soakproxy import Direction, FaultProxy
+from soakrun import SoakOptions, parse_seeds, play_soak
+from soakserver import make_proof
+
+READ, LAMP, NORTH = (CALL_KINDS[index] for index in (0, 1, 3))
+SUBNET = 250
+SIGNED = {"godwitrack-server-signature": "signed"}
+HELD_SECONDS = 0.2
+# Seeds whose findings were traced, with the cause that was mended.
+REGRESSION_SEEDS = {
+    2: "uploads between regions lost their time to a pace that a busy node had cut",
+    8: "SIGHUP ended a node that still started",
+    10: "a stop cut requests off before their own time was up",
+    26: "a second SIGTERM cut off what the first had left in flight",
+}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_plan_is_drawn_from_its_seed_alone(seed):
+    first, second = (draw_plan(seed, 5, 12.0, 12) for _ in range(2))
+    lines = [step.format() for step in first]
+    assert lines == [step.format() for step in second]
+    assert lines != [step.format() for step in draw_plan(seed + 9, 5, 12.0, 12)]
+    assert [step.at for step in first] == sorted(step.at for step in first)
+
+
+def test_plans_hold_every_kind_of_fault():
+    steps = [step for seed in range(60) for step in draw_plan(seed, 5, 12.0, 12)]
+    assert {step.kind for step in steps} == set(FaultKind)
+    assert {step.path for step in steps} == set(PathName)
+
+
+@pytest.mark.parametrize(
+    ("text", "seeds"), [("3", [3]), ("3,7-9", [3, 7, 8, 9]), ("4,2-4", [2, 3, 4])]
+)
+def test_seeds_are_read(text, seeds):
+    assert parse_seeds(text) == seeds
+
+
+@pytest.mark.parametrize("text", ["", "a", "1-", "1;2"])
+def test_a_wrong_list_of_seeds_is_an_error(text):
+    with pytest.raises(ValueError, match="seeds"):
+        parse_seeds(text)
+
+
+class EchoServer:
+    """Sends back what it gets."""
+
+    def __init__(self):
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = self._socket.getsockname()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._echo, args=(sock,), daemon=True).start()
+
+    def _echo(self, sock):
+        try:
+            while data := sock.recv(1024):
+                sock.sendall(data)
+        except OSError:
+            return
+
+    def close(self):
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+
+@pytest.fixture
+def proxy():
+    server = EchoServer()
+    proxy = FaultProxy("127.0.0.1", server.address)
+    yield proxy
+    proxy.close()
+    server.close()
+
+
+@pytest.fixture
+def client(proxy):
+    with socket.create_connection(proxy.address, 10.0) as client:
+        client.sendall(b"a")
+        assert client.recv(1) == b"a"
+        yield client
+
+
+@pytest.mark.parametrize(
+    "directions",
+    [[Direction.TO_TARGET], [Direction.FROM_TARGET], list(Direction)],
+    ids=["in", "out", "both"],
+)
+def test_a_cut_holds_bytes_until_it_ends(proxy, client, directions):
+    proxy.cut(directions)
+    proxy.cut(directions)
+    client.sendall(b"b")
+    client.settimeout(HELD_SECONDS)
+    with pytest.raises(TimeoutError):
+        client.recv(1)
+    proxy.heal(directions)
+    with pytest.raises(TimeoutError):
+        client.recv(1)
+    proxy.heal(directions)
+    client.settimeout(10.0)
+    assert client.recv(1) == b"b"
+
+
+def test_a_reset_ends_open_connections_only(proxy, client):
+    proxy.reset()
+    with pytest.raises(ConnectionResetError):
+        client.recv(1)
+    with socket.create_connection(proxy.address, 10.0) as other:
+        other.sendall(b"c")
+        assert other.recv(1) == b"c"
+
+
+def test_a_delay_holds_each_piece(proxy, client):
+    proxy.add_delay(HELD_SECONDS)
+    started = time.monotonic()
+    client.sendall(b"d")
+    assert client.recv(1) == b"d"
+    assert time.monotonic() - started >= 2 * HELD_SECONDS
+
+
+class FakeServer:
+    """One process of a backend server, as the checks see it."""
+
+    def __init__(self, instance, was_cold=False, left_at=None):
+        self.instance = instance
+        self.was_cold = was_cold
+        self.left_at = left_at
+        self.warm_at = 102.0
+
+
+class FakeRun:
+    """A run, as the checks see it."""
+
+    def __init__(self, call, node, **changes):
+        self.request_id = call.request_id
+        self.target = call.target
+        self.length = call.length
+        self.node = node
+        self.instance = f"i-{node}"
+        self.caller_service = PLACES[call.node].service
+        self.moment = call.sent_at
+        for name, value in changes.items():
+            setattr(self, name, value)
+
+
+class FakeFleet:
+    """Takes calls and runs for a SoakRecord."""
+
+    def __init__(self):
+        self.calls = []
+        self.runs = []
+        self.machines = [FakeMachine(place) for place in PLACES]
+
+    def add_call(self, kind, status=200, runs=(), node=0, **changes):
+        call = SentCall(f"r{len(self.calls)}", kind, node, 0)
+        call.sent_at, call.ended_at = 100.0, 100.1
+        body = b"done " + make_proof(call.request_id, 0) if status == 200 else b""
+        headers = dict(SIGNED) if status == 200 else {}
+        call.answer = Answer(status, headers, body) if status else None
+        for name, value in changes.items():
+            setattr(call, name, value)
+        self.calls.append(call)
+        self.runs += [FakeRun(call, number) for number in runs]
+        return call
+
+    def check(self, disturbances=()):
+        found = SoakRecord(self, list(disturbances)).check()
+        return sorted({finding.rule for finding in found})
+
+
+class FakeMachine:
+    """One VM, as the checks see it."""
+
+    def __init__(self, place):
+        self.place = place
+        self.servers = []
+
+
+@pytest.fixture
+def fleet():
+    return FakeFleet()
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "runs", "found"),
+    [
+        (READ, 200, [0], []),
+        (READ, 200, [0, 2], []),
+        (LAMP, 200, [1], []),
+        (LAMP, 200, [1, 3], ["TWICE"]),
+        (LAMP, 503, [], []),
+        (LAMP, 503, [1], ["REFUSED"]),
+        (LAMP, 421, [1], ["REFUSED"]),
+        (LAMP, 502, [1], []),
+        (LAMP, 404, [], ["DENIED"]),
+        (READ, 302, [], ["DENIED"]),
+        (READ, 503, [0], []),
+        (NORTH, 200, [2], []),
+        (NORTH, 200, [4], ["HOME"]),
+        (READ, 200, [1], ["ROUTE"]),
+        (LAMP, 0, [], []),
+        (LAMP, 0, [1], ["LOST"]),
+    ],
+)
+def test_what_a_call_and_its_runs_show(fleet, kind, status, runs, found):
+    fleet.add_call(kind, status, runs)
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(
+    ("headers", "body", "found"),
+    [
+        (SIGNED, b"done r0 0", []),
+        ({}, b"done r0 0", ["MIXED"]),
+        (SIGNED, b"done r1 0", ["MIXED"]),
+        (SIGNED, b"done r0", ["MIXED"]),
+        ({**SIGNED, "godwitrack-request-id": "r1"}, b"done r0 0", ["MIXED"]),
+    ],
+)
+def test_an_answer_of_another_request_is_found(fleet, headers, body, found):
+    fleet.add_call(READ, answer=Answer(200, headers, body))
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(
+    "changes", [{"target": "/read/x"}, {"length": 7}, {"caller_service": "other"}]
+)
+def test_a_changed_request_is_found(fleet, changes):
+    call = fleet.add_call(READ)
+    fleet.runs.append(FakeRun(call, 0, **changes))
+    assert fleet.check() == ["UNASKED"]
+
+
+def make_disturbance(kind, node, path=PathName.CALLERS, began_at=98.0, ended_at=99.0):
+    disturbance = Disturbance(FaultStep(0.0, kind, node, path, 1.0, 0.0))
+    disturbance.began_at, disturbance.ended_at = began_at, ended_at
+    return disturbance
+
+
+@pytest.mark.parametrize(
+    ("kind", "node", "path", "found"),
+    [
+        (FaultKind.NODE_KILL, 0, PathName.CALLERS, []),
+        (FaultKind.NODE_KILL, 1, PathName.CALLERS, ["LOST"]),
+        (FaultKind.NODE_STOP, 0, PathName.CALLERS, ["LOST"]),
+        (FaultKind.PATH_RESET, 0, PathName.CALLERS, []),
+        (FaultKind.PATH_RESET, 0, PathName.SERVER, ["LOST"]),
+        (FaultKind.STORE_AWAY, 0, PathName.CALLERS, ["LOST"]),
+    ],
+)
+def test_which_fault_excuses_a_lost_answer(fleet, kind, node, path, found):
+    fleet.add_call(LAMP, 0, [1])
+    assert fleet.check([make_disturbance(kind, node, path)]) == found
+
+
+@pytest.mark.parametrize(
+    ("moment", "faults", "found"),
+    [
+        (104.9, [], []),
+        (105.1, [], ["EVAC"]),
+        (120.1, [], []),
+        (105.1, [make_disturbance(FaultKind.STORE_AWAY, 3)], []),
+        (105.1, [make_disturbance(FaultKind.NODE_PAUSE, 3)], ["EVAC"]),
+    ],
+)
+def test_a_run_in_a_data_centre_that_is_taken_out_is_found(
+    fleet, moment, faults, found
+):
+    taken_out = make_disturbance(FaultKind.TAKE_OUT, 0, began_at=100.0, ended_at=120.0)
+    call = fleet.add_call(READ, sent_at=moment, ended_at=moment)
+    fleet.runs.append(FakeRun(call, 0))
+    assert fleet.check([taken_out, *faults]) == found
+
+
+@pytest.mark.parametrize(("moment", "found"), [(102.4, []), (102.6, ["DRAIN"])])
+def test_a_run_after_its_server_left_is_found(fleet, moment, found):
+    fleet.machines[0].servers.append(FakeServer("i-0", left_at=100.0))
+    call = fleet.add_call(READ, sent_at=moment, ended_at=moment)
+    fleet.runs.append(FakeRun(call, 0))
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(("count", "found"), [(35, []), (36, ["FAILBACK"])])
+def test_too_many_runs_at_a_cold_server_are_found(fleet, count, found):
+    fleet.machines[0].servers.append(FakeServer("i-0", was_cold=True))
+    for number in range(count):
+        moment = 100.0 + 0.9 * number / count
+        call = fleet.add_call(READ, sent_at=moment, ended_at=moment)
+        fleet.runs.append(FakeRun(call, 0))
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(("repeats", "found"), [(20, []), (29, ["BUDGET"])])
+def test_too_many_retries_are_found(fleet, repeats, found):
+    for _ in range(repeats):
+        fleet.add_call(READ, 200, [0, 2])
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(("late", "found"), [(7, []), (8, ["CONFIG"])])
+def test_answers_after_their_time_are_found(fleet, late, found):
+    for _ in range(late):
+        fleet.add_call(READ, 504, ended_at=103.6)
+    assert fleet.check() == found
+
+
+@pytest.mark.parametrize(
+    ("moments", "most"), [([], 0), ([1.0, 1.9, 2.0], 2), ([1.0, 1.5, 2.2, 2.4], 3)]
+)
+def test_the_fullest_span_is_found(moments, most):
+    assert count_most(moments, 1.0) == most
+
+
+def test_a_short_soak_finds_nothing(tmp_path):
+    """The real programs; `make soak` plays many seeds, and for longer."""
+    result = play_soak(1, tmp_path, SUBNET, SoakOptions(4.0, 6, is_timed=False))
+    assert result.findings == []
+    assert result.served > 100
+
+
+@pytest.mark.parametrize("seed", REGRESSION_SEEDS)
+def test_a_seed_that_failed_once_finds_nothing(tmp_path, seed):
+    result = play_soak(seed, tmp_path, SUBNET, SoakOptions(is_timed=False))
+    assert result.findings == []
