Wait for a silent node where no other attempt could follow

The entry leaves an idempotent call when the other node does not answer a question about it for half a second; no retry was left then, so giving up brought nothing. Ruled out: the deadline (1.3 s), the stop itself (it had 3 s left). Change: the attempt is left only if the route, the retry share and a further server allow another one; otherwise the link is waited on until the deadline. Conclusion: an attempt is given up only for a better one.

--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -75,6 +75,7 @@
         watch=None,
         grace=0.0,
         query_timeout=None,
+        can_repeat=None,
     ):
         """Prepare an attempt.
 
@@ -89,7 +90,10 @@
             grace: Seconds after the deadline for the other side's last word.
             query_timeout: Seconds allowed to ask about a silent read; `silence` by
                 default.
+            can_repeat: Function that tells whether another attempt could follow;
+                by default one always can.
         """
+        self._can_repeat = can_repeat or _always
         self._query_timeout = silence if query_timeout is None else query_timeout
         self._grace = grace
         self._watch = watch
@@ -164,7 +168,7 @@
                 outcome = self._query(call, min(left, self._find_query_timeout(call)))
             if outcome is not None and self._is_final(outcome, wait > self._silence):
                 return self._conclude(outcome)
-            if outcome is None and call.idempotent:
+            if outcome is None and call.idempotent and self._can_repeat():
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the node is silent")
             if self._find_left(deadline) <= 0:
                 raise self._give_up(outcome)
@@ -325,3 +329,7 @@
         except ValueError:
             kind = ErrorKind.OUTCOME_UNKNOWN
         super().__init__(kind, message.detail)
+
+
+def _always():
+    return True
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -209,7 +209,7 @@
             tried.add(view.member.address)
             call = self._make_call(errand, request, view.member, body, more)
             try:
-                self._attempt(errand, view, call, source, sink)
+                self._attempt(errand, view, call, source, sink, tried)
                 return
             except RequestError as error:
                 errand.rule.note(error)
@@ -224,29 +224,32 @@
                 raise uncertain or error from None
 
     def _choose(self, errand, tried, uncertain):
-        now = self._clock.read_monotonic()
-        if now >= errand.deadline:
+        if self._clock.read_monotonic() >= errand.deadline:
             raise uncertain or RequestError(ErrorKind.NO_ROOM, "no time is left")
+        view = self._find_best(errand, tried)
+        if view is None:
+            kind = ErrorKind.NO_ROOM if tried else ErrorKind.NO_SERVER
+            raise uncertain or RequestError(kind)
+        return view
+
+    def _find_best(self, errand, tried):
+        """Return the MemberView to try next, or None where none is left."""
         views = [
             view
             for view in self._roster.list_views(errand.service)
             if view.member.data_centre not in self._routes.taken_out
         ]
-        view = self._placer.choose(views, errand.route, now, tried)
-        if view is None:
-            kind = ErrorKind.NO_ROOM if tried else ErrorKind.NO_SERVER
-            raise uncertain or RequestError(kind)
-        return view
+        now = self._clock.read_monotonic()
+        return self._placer.choose(views, errand.route, now, tried)
 
-    def _attempt(self, errand, view, call, source, sink):
+    def _attempt(self, errand, view, call, source, sink, tried):
         """Make one attempt and learn from it."""
         errand.server = view.member.address
         errand.load_age_ms = view.find_age_ms(self._clock.read_monotonic())
         view.in_flight += 1
         try:
-            load = self._find_attempt(errand, view, call, source).run(
-                call, source, sink
-            )
+            attempt = self._find_attempt(errand, view, call, source, tried)
+            load = attempt.run(call, source, sink)
         except RequestError as error:
             self._learn(view, error)
             raise
@@ -258,7 +261,7 @@
         if load is not None:
             self._take_load(view, load)
 
-    def _find_attempt(self, errand, view, call, source):
+    def _find_attempt(self, errand, view, call, source, tried):
         if view.member.address == self._own_address:
             return LocalAttempt(self._guard)
         silence = max(errand.route.objective * SILENCE_SHARE, MIN_SILENCE_SECONDS)
@@ -272,6 +275,10 @@
             source.watch,
             GRACE_SECONDS,
             QUERY_SECONDS,
+            lambda: (
+                errand.rule.could_repeat()
+                and self._find_best(errand, tried) is not None
+            ),
         )
 
     def _learn(self, view, error):
--- a/packages/godwitrack_node/src/godwitrack_node/repeats.py
+++ b/packages/godwitrack_node/src/godwitrack_node/repeats.py
@@ -58,6 +58,14 @@
         else:
             self.sent += 1
 
+    def could_repeat(self):
+        """Tell whether a retry could follow if the attempt on its way got no answer."""
+        return (
+            self._route.idempotent
+            and self.sent + 1 < self._route.max_attempts
+            and self._share.has(self._service, RUN_COST)
+        )
+
     def allows(self, error):
         """Tell whether a further attempt may follow, and take a retry if it needs one.
 
--- a/packages/godwitrack_node/src/godwitrack_node/retryshare.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retryshare.py
@@ -64,6 +64,11 @@
             moment = self._clock.read_monotonic()
             self._count(self._requests, service).append((moment, 1.0))
 
+    def has(self, service, cost=1.0):
+        """Tell whether there is a retry; for the arguments see `withdraw`."""
+        with self._lock:
+            return self._has(service, cost)
+
     def withdraw(self, service, cost=1.0):
         """Take one retry; returns whether there was one.
 
@@ -71,17 +76,20 @@
             service: Name of the service.
             cost: Arrivals at this and other services that it may lead to.
         """
-        limits = self._limits
         with self._lock:
-            requests = len(self._count(self._requests, service))
-            retries = self._count(self._retries, service)
-            slack = limits.slack / max(self._count_nodes(), 1)
-            spent = sum(spent for _, spent in retries)
-            if spent + cost > SAFETY * (requests * limits.ratio + slack):
+            if not self._has(service, cost):
                 return False
+            retries = self._count(self._retries, service)
             retries.append((self._clock.read_monotonic(), cost))
             return True
 
+    def _has(self, service, cost):
+        limits = self._limits
+        requests = len(self._count(self._requests, service))
+        slack = limits.slack / max(self._count_nodes(), 1)
+        spent = sum(spent for _, spent in self._count(self._retries, service))
+        return spent + cost <= SAFETY * (requests * limits.ratio + slack)
+
     def _count(self, table, service):
         moments = table.setdefault(service, collections.deque())
         oldest = self._clock.read_monotonic() - self._limits.window
--- /dev/null
+++ b/tests/test_attempt.py
@@ -0,0 +1,125 @@
+"""Tests of godwitrack_node.attempt: nodes that are silent, on a clock set by hand."""
+
+import pytest
+
+from godwitrack.exceptions import ErrorKind, LinkError, LinkTimeout, RequestError
+from godwitrack.messages import Answer, Load, RoutedCall
+from godwitrack_node.attempt import RemoteAttempt
+
+SILENCE_SECONDS = 0.2
+DEADLINE_MS = 1000.0
+BUSY_SECONDS = 0.7
+
+
+def make_call(idempotent=True):
+    return RoutedCall(
+        "n.1.0",
+        "r1",
+        1,
+        1,
+        "scenbok",
+        "styrning",
+        "GET",
+        "/read/1",
+        [],
+        idempotent,
+        False,
+        [],
+        1,
+        500.0,
+        DEADLINE_MS,
+        False,
+        0,
+        b"",
+        False,
+    )
+
+
+class LateLink:
+    """Answers after a while; its node takes no further links meanwhile."""
+
+    def __init__(self, clock, seconds):
+        self._clock = clock
+        self._answered_at = clock.read_monotonic() + seconds
+        self.is_aborted = False
+
+    def send(self, message, timeout=None):
+        assert type(message) is RoutedCall
+
+    def receive(self, timeout, watch=None):
+        left = self._answered_at - self._clock.read_monotonic()
+        self._clock.advance(min(timeout, max(left, 0.0)))
+        if left > timeout:
+            raise LinkTimeout("silent")
+        load = Load(1, 0, 10, 1, 100).to_data()
+        return Answer("n.1.0", 200, [], load, 2, b"ok", False)
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class SilentPool:
+    """Has one open link and can open no other."""
+
+    def __init__(self, clock, link):
+        self._clock = clock
+        self._link = link
+        self.is_released = False
+
+    def acquire(self, address, timeout):
+        return self._link
+
+    def open(self, address, timeout):
+        self._clock.advance(timeout)
+        raise LinkError("no connection")
+
+    def release(self, link):
+        self.is_released = True
+
+
+class Sink:
+    """Keeps the status."""
+
+    is_started = False
+    status = 0
+
+    def start(self, status, headers, length, body, more):
+        self.is_started, self.status = True, status
+
+
+def run_attempt(clock, answer_seconds, can_repeat):
+    link = LateLink(clock, answer_seconds)
+    pool = SilentPool(clock, link)
+    attempt = RemoteAttempt(
+        clock,
+        pool,
+        "10.0.0.1:7620",
+        SILENCE_SECONDS,
+        lambda load: None,
+        query_timeout=SILENCE_SECONDS,
+        can_repeat=can_repeat,
+    )
+    sink = Sink()
+    attempt.run(make_call(), None, sink)
+    return sink.status
+
+
+def test_a_silent_node_is_waited_for_where_no_other_can_be_tried(clock):
+    """Seen as a call given up while its server worked on it (LOST)."""
+    assert run_attempt(clock, BUSY_SECONDS, lambda: False) == 200
+
+
+def test_a_silent_node_is_left_where_another_can_be_tried(clock):
+    started = clock.read_monotonic()
+    with pytest.raises(RequestError) as caught:
+        run_attempt(clock, BUSY_SECONDS, lambda: True)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+    passed = clock.read_monotonic() - started
+    assert passed == pytest.approx(2 * SILENCE_SECONDS)
+
+
+def test_a_silent_node_is_waited_for_no_longer_than_the_deadline(clock):
+    started = clock.read_monotonic()
+    with pytest.raises(RequestError):
+        run_attempt(clock, 9.0, lambda: False)
+    assert clock.read_monotonic() - started <= DEADLINE_MS / 1000 + SILENCE_SECONDS
