Start runs in moments when the server is fast

What a guard knew of the speed was older than a phase. Ruled out: waiting (p90 0 ms), placing by load reports, which are older still. Change: SpeedGauge (speed.py) decides: a run starts when its server has told within 20 ms that it is not slow, as answers and health checks do; a check is made when a request waits for one. A slow moment is waited out for up to 0.35 of the objective. Slow is relative to the best of the last second, so that cold starts and VMs that are slow for longer are not waited for. Conclusion: replayed in tests/test_speed.py beside the policy before it.

--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -10,6 +10,7 @@
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 from godwitrack_node.ledger import Ledger, OutcomeState
 from godwitrack_node.pacing import PartSender
+from godwitrack_node.speed import MEASURE_SECONDS
 from godwitrack_node.waiting import Entrant, WaitingRoom
 
 CONNECTIONS = 200
@@ -48,7 +49,7 @@
         self._running = set()
         self._log = find_logger("guard")
         self.ledger = Ledger(clock)
-        self.room = WaitingRoom(clock)
+        self.room = WaitingRoom(clock, measure=self._measure_slowness)
 
     def connect(self, kernel):
         """Find the collaborators."""
@@ -127,6 +128,15 @@
         answer = self._client.send(request, lambda _: True, deadline)
         return self._dialect.read_health(answer)
 
+    def _measure_slowness(self):
+        """Return what the backend server says of its speed, or None."""
+        now = self._clock.read_monotonic()
+        try:
+            return self.check_health(now + MEASURE_SECONDS).slowness
+        except RequestError as error:
+            self._log.debug("speed not known", error=str(error))
+            return None
+
     def run(self, call, source, sink):
         """Run a request at the backend server.
 
@@ -231,6 +241,7 @@
         slowness = self._dialect.read_slowness(answer)
         if slowness is not None:
             self._slowness = slowness
+            self.room.note_speed(slowness)
         if self._dialect.is_unrun(answer):
             if self._dialect.is_other_process(answer):
                 self._registration.block("another process answered")
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -10,6 +10,7 @@
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
 from godwitrack_node.limits import LimitFinder
+from godwitrack_node.speed import SpeedGauge
 
 WAIT_SHARE = 0.5
 PRIORITY_STEP_SHARE = 0.1
@@ -122,8 +123,20 @@
 class WaitingRoom:
     """Decides about requests; all methods may be called from any thread."""
 
-    def __init__(self, clock, slots=1):
+    def __init__(self, clock, slots=1, measure=None):
+        """Prepare without requests.
+
+        Args:
+            clock: Clock.
+            slots: Requests that the backend server works on at once.
+            measure: Function that asks the backend server how long work takes now,
+                in percent of the usual time, or None where it does not say; without
+                it, requests start at any speed.
+        """
         self._clock = clock
+        self._measure = measure
+        self._gauge = SpeedGauge()
+        self._is_measuring = False
         self._lock = threading.Lock()
         self._queue = []
         self._running = 0
@@ -187,11 +200,13 @@
         """
         if self._offer(entrant):
             return
+        self._measure_speed()
         while not entrant.wait(CHECK_SECONDS):
             if watch is not None and watch.fileno() >= 0 and watch.is_gone():
                 if self._withdraw(entrant):
                     raise CallerGone("the caller left the queue")
             self._review(entrant)
+            self._measure_speed()
         if entrant.refusal is not None:
             raise RequestError(entrant.refusal)
 
@@ -212,6 +227,13 @@
             started = self._start_waiting()
         _wake(started)
 
+    def note_speed(self, slowness):
+        """Take how long work takes now, in percent of the usual time, or None."""
+        with self._lock:
+            self._gauge.note(slowness, self._clock.read_monotonic())
+            started = self._start_waiting()
+        _wake(started)
+
     def learn(self, entrant, kind, slowness):
         """Take how long an answer took; called before `release`.
 
@@ -233,7 +255,7 @@
         now = self._clock.read_monotonic()
         entrant.arrived_at = now
         with self._lock:
-            if not self._queue and self._has_place(now):
+            if not self._queue and self._may_start(entrant, now):
                 self._start(entrant, now)
                 return True
             self._check_wait(entrant, now)
@@ -257,6 +279,24 @@
             return False
         return self._cold_rate is None or self._cap.allows(self._cold_rate, now)
 
+    def _may_start(self, entrant, now):
+        if not self._has_place(now):
+            return False
+        return self._measure is None or self._gauge.is_good(entrant, now)
+
+    def _measure_speed(self):
+        """Measure the speed if someone waits for that; one thread does so at a time."""
+        with self._lock:
+            now = self._clock.read_monotonic()
+            is_asked = self._queue and self._has_place(now) and self._gauge.is_due(now)
+            if self._measure is None or self._is_measuring or not is_asked:
+                return
+            self._is_measuring = True
+        try:
+            self.note_speed(self._measure())
+        finally:
+            self._is_measuring = False
+
     def _start(self, entrant, now):
         entrant.started_at = now
         entrant.running = self._running
@@ -266,7 +306,7 @@
     def _start_waiting(self):
         now = self._clock.read_monotonic()
         decided = []
-        while self._queue and self._has_place(now):
+        while self._queue and self._may_start(self._queue[0], now):
             entrant = self._queue.pop(0)
             decided.append(entrant)
             need = MIN_SERVICE_SHARE * self._service_seconds
--- /dev/null
+++ b/tests/test_speed.py
@@ -0,0 +1,164 @@
+"""Tests of godwitrack_node.speed: a server that slows down for moments."""
+
+import random
+import statistics
+
+import pytest
+
+from godwitrack_node.speed import (
+    FRESH_SECONDS,
+    HOLD_SHARE,
+    MAX_AGE_SECONDS,
+    MEASURE_SECONDS,
+    SpeedGauge,
+)
+from godwitrack_node.waiting import CHECK_SECONDS, Entrant, WaitingRoom
+
+SEED = 7
+OBJECTIVE_SECONDS = 1.2
+SLOW, USUAL = 500, 100
+# Phases like those of a bench day: a third of the time slow, for moments.
+SLOW_PHASE_SECONDS = (0.05, 0.2)
+USUAL_PHASE_SECONDS = (0.05, 0.5)
+RUN_SECONDS = 0.36
+
+
+def make_entrant(arrived_at=100.0, objective=OBJECTIVE_SECONDS):
+    entrant = Entrant(1, objective, arrived_at + 5.0)
+    entrant.arrived_at = arrived_at
+    return entrant
+
+
+@pytest.mark.parametrize(
+    ("notes", "now", "expected"),
+    [
+        # Nothing is known yet: it is measured, for a moment.
+        ([], 100.0, False),
+        ([], 100.0 + 2 * MEASURE_SECONDS, True),
+        ([(USUAL, 100.0)], 100.0, True),
+        ([(USUAL, 99.5), (SLOW, 100.0)], 100.0, False),
+        # Nothing better is to be had now: a cold start, or a slow VM.
+        ([(SLOW, 100.0)], 100.0, True),
+        ([(USUAL, 98.0), (SLOW, 99.5), (SLOW, 100.0)], 100.0, True),
+        ([(2 * USUAL, 99.5), (2 * SLOW, 100.0)], 100.0, False),
+        ([(USUAL, 99.5), (2 * USUAL, 100.0)], 100.0, True),
+        ([(SLOW, 100.0), (USUAL, 100.01)], 100.01, True),
+        # Old knowledge is measured again, whatever it said.
+        ([(USUAL, 100.0)], 100.0 + 2 * FRESH_SECONDS, False),
+        ([(SLOW, 100.0)], 100.0 + 2 * FRESH_SECONDS, False),
+        ([(USUAL, 99.9), (SLOW, 100.0)], 100.0 + MAX_AGE_SECONDS + 0.01, True),
+        # A server that does not tell is not waited for.
+        ([(None, 100.0)], 100.0, True),
+        # The wait ends before it costs the objective.
+        ([(USUAL, 100.1), (SLOW, 100.4)], 100.0 + HOLD_SHARE * OBJECTIVE_SECONDS, True),
+    ],
+)
+def test_whether_a_moment_is_good(notes, now, expected):
+    gauge = SpeedGauge()
+    for slowness, moment in notes:
+        gauge.note(slowness, moment)
+    assert gauge.is_good(make_entrant(), now) is expected
+
+
+@pytest.mark.parametrize(
+    ("slowness", "age", "expected"),
+    [(SLOW, 0.01, False), (SLOW, 0.03, True), (None, 0.01, False), (None, 0.03, True)],
+)
+def test_how_often_the_speed_is_measured(slowness, age, expected):
+    gauge = SpeedGauge()
+    gauge.note(slowness, 100.0)
+    assert gauge.is_due(100.0 + age) is expected
+
+
+class Phases:
+    """A server whose speed changes at random moments, on a clock set by hand."""
+
+    def __init__(self, clock, seconds):
+        rng = random.Random(SEED)
+        self._clock = clock
+        self._changes = []
+        moment, is_slow = clock.read_monotonic(), False
+        self.end = moment + seconds
+        while moment < self.end + 10.0:
+            span = SLOW_PHASE_SECONDS if is_slow else USUAL_PHASE_SECONDS
+            moment += rng.uniform(*span)
+            self._changes.append((moment, SLOW if is_slow else USUAL))
+            is_slow = not is_slow
+
+    def read(self):
+        """Return the slowness at the moment."""
+        now = self._clock.read_monotonic()
+        return next(slowness for moment, slowness in self._changes if moment > now)
+
+    def measure(self):
+        """Return the slowness as a health check does, which takes a millisecond."""
+        self._clock.advance(0.001)
+        return self.read()
+
+
+class PlayedEntrant(Entrant):
+    """Waits on a clock set by hand.
+
+    Attributes:
+        on_wait: Function called after each wait, or None.
+    """
+
+    def __init__(self, clock, on_wait=None):
+        super().__init__(1, OBJECTIVE_SECONDS, clock.read_monotonic() + 5.0)
+        self._clock = clock
+        self._on_wait = on_wait
+
+    def wait(self, timeout):
+        if self.started_at is None and self.refusal is None:
+            self._clock.advance(timeout)
+            if self._on_wait is not None:
+                self._on_wait()
+        return self.started_at is not None or self.refusal is not None
+
+
+def play_requests(clock, phases, measure):
+    """Return the seconds from arrival to answer of requests that come one by one."""
+    rng = random.Random(SEED)
+    durations = []
+    room = WaitingRoom(clock, 1, measure)
+    while clock.read_monotonic() < phases.end:
+        entrant = PlayedEntrant(clock)
+        room.acquire(entrant)
+        run = RUN_SECONDS * phases.read() / USUAL
+        room.release(entrant, False)
+        durations.append(entrant.started_at - entrant.arrived_at + run)
+        clock.advance(rng.uniform(0.05, 0.4))
+    return durations
+
+
+def find_late_share(durations):
+    return statistics.fmean(item > OBJECTIVE_SECONDS for item in durations)
+
+
+def test_requests_start_in_fast_moments(clock):
+    """The load pattern, beside the policy before it, which starts at any moment."""
+    phases = Phases(clock, 60.0)
+    before = play_requests(clock, phases, None)
+    phases = Phases(clock, 60.0)
+    after = play_requests(clock, phases, phases.measure)
+    assert find_late_share(before) > 0.2
+    assert find_late_share(after) < 0.02
+    assert statistics.fmean(after) < 0.6 * statistics.fmean(before)
+
+
+def test_a_room_without_a_measure_starts_at_any_speed(clock):
+    room = WaitingRoom(clock, 1)
+    room.note_speed(SLOW)
+    entrant = make_entrant(clock.read_monotonic())
+    room.acquire(entrant)
+    assert entrant.started_at == clock.read_monotonic()
+
+
+def test_a_fast_answer_starts_those_that_wait(clock):
+    """An answer tells the speed as well as a measurement does."""
+    room = WaitingRoom(clock, 2, lambda: SLOW)
+    room.note_speed(USUAL)
+    clock.advance(2 * FRESH_SECONDS)
+    entrant = PlayedEntrant(clock, lambda: room.note_speed(USUAL))
+    room.acquire(entrant)
+    assert 0.0 < entrant.started_at - entrant.arrived_at < 2 * CHECK_SECONDS
