--- a/soak/soakserver.py
+++ b/soak/soakserver.py
@@ -44,6 +44,7 @@
     Attributes:
         node: Number of the node beside it.
         started_at: Monotonic time of its start in seconds.
+        warm_at: Monotonic time of the end of its cold start in seconds.
         left_at: Monotonic time at which its leaving was acknowledged, or None.
         breaks: Whether it breaks its answers off.
     """
@@ -67,26 +68,21 @@
         self.behave = self._behave
         self._runs = runs
         self._lengths = {}
-        self._warm_at = self.started_at
-
-    def begin_cold(self, seconds):
-        """Start cold."""
-        self._warm_at = self.started_at + seconds
-        self.count_down()
+        self.warm_at = self.started_at
 
     @property
     def was_cold(self):
         """Whether it started cold."""
-        return self._warm_at > self.started_at
+        return self.warm_at > self.started_at
 
-    @property
-    def warm_at(self):
-        """Monotonic time of the end of its cold start in seconds."""
-        return self._warm_at
+    def begin_cold(self, seconds):
+        """Start cold, for so many seconds."""
+        self.warm_at = self.started_at + seconds
+        self.count_down()
 
     def count_down(self):
         """Update what it tells of its cold start."""
-        self.cold_seconds = max(self._warm_at - time.monotonic(), 0.0)
+        self.cold_seconds = max(self.warm_at - time.monotonic(), 0.0)
 
     def note_run(self, request, request_id, body):
         """Record a request that runs."""
