Keep the pauses between tries at the store in one module

Cause: news and registration each doubled and spread a pause of their own. Change: RetryPause, with tests of its growth, its limit and its spread.

--- a/packages/godwitrack_node/src/godwitrack_node/news.py
+++ b/packages/godwitrack_node/src/godwitrack_node/news.py
@@ -16,9 +16,8 @@
     is_acceptable,
     make_answer,
 )
+from godwitrack_node.retrypause import MAX_PAUSE_SECONDS, RetryPause
 
-FIRST_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 1.5
 # Many nodes change the fleet's table at once when a data centre starts.
 COALESCE_SECONDS = {FeedTable.OPERATORS: 0.0, FeedTable.FLEET: 0.15}
 MAX_PEER_WAIT_MS = 5000
@@ -115,7 +114,7 @@
         return make_answer(table, page)
 
     def _follow(self, table):
-        pause = FIRST_PAUSE_SECONDS
+        pause = RetryPause(self._rng)
         while not self._stopped.is_set():
             address = self._choose(table)
             try:
@@ -125,14 +124,13 @@
                 continue
             except StoreError as error:
                 self._note_failure(table, address, error)
-                self._stopped.wait(pause * (0.5 + self._rng.random()))
-                pause = min(pause * 2, MAX_PAUSE_SECONDS)
+                self._stopped.wait(pause.draw())
                 continue
             except Exception:
                 self._log.exception("following failed", table=table.name)
                 self._stopped.wait(MAX_PAUSE_SECONDS)
                 continue
-            pause = FIRST_PAUSE_SECONDS
+            pause.reset()
             if has_changed:
                 self._stopped.wait(COALESCE_SECONDS[table])
 
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -8,6 +8,11 @@
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
 from godwitrack_node.placing import Member
+from godwitrack_node.retrypause import (
+    FIRST_PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
+    RetryPause,
+)
 from godwitrack_node.roster import read_member, write_member
 
 HEALTH_SECONDS = 1.0
@@ -16,8 +21,6 @@
 TICK_SECONDS = 0.05
 MISSED_REPORTS = 3
 ACK_WAIT_SECONDS = 0.6
-FIRST_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 1.5
 COLD_MARGIN_SECONDS = 0.2
 
 
@@ -333,7 +336,7 @@
             self._note_change("silent")
 
     def _write_rows(self):
-        pause = FIRST_PAUSE_SECONDS
+        pause = RetryPause(self._rng)
         while True:
             self._changed.wait()
             if self._stopped.is_set():
@@ -346,11 +349,10 @@
                 continue
             try:
                 self._write_row()
-                pause = FIRST_PAUSE_SECONDS
+                pause.reset()
             except StoreError as error:
                 self._log.info("row not written", error=str(error))
-                self._stopped.wait(pause * (0.5 + self._rng.random()))
-                pause = min(pause * 2, MAX_PAUSE_SECONDS)
+                self._stopped.wait(pause.draw())
                 self._changed.set()
             except Exception:
                 self._log.exception("row not written")
--- /dev/null
+++ b/tests/test_retrypause.py
@@ -0,0 +1,45 @@
+"""Tests of godwitrack_node.retrypause."""
+
+import random
+
+import pytest
+
+from godwitrack_node.retrypause import (
+    FIRST_PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
+    RetryPause,
+)
+
+
+class FixedRandom:
+    """Gives the same number always."""
+
+    def __init__(self, value):
+        self._value = value
+
+    def random(self):
+        return self._value
+
+
+@pytest.mark.parametrize(
+    ("value", "factor"), [(0.0, 0.5), (0.5, 1.0), (0.99, 1.49)], ids=str
+)
+def test_pauses_double_up_to_a_limit(value, factor):
+    pause = RetryPause(FixedRandom(value))
+    drawn = [pause.draw() for _ in range(6)]
+    seconds = [FIRST_PAUSE_SECONDS * 2**number for number in range(4)]
+    seconds += [MAX_PAUSE_SECONDS, MAX_PAUSE_SECONDS]
+    assert drawn == pytest.approx([factor * item for item in seconds])
+
+
+def test_a_try_that_worked_begins_anew():
+    pause = RetryPause(FixedRandom(0.5))
+    for _ in range(5):
+        pause.draw()
+    pause.reset()
+    assert pause.draw() == pytest.approx(FIRST_PAUSE_SECONDS)
+
+
+def test_nodes_do_not_come_together():
+    drawn = {RetryPause(random.Random(seed)).draw() for seed in range(20)}
+    assert len(drawn) == 20
