Use one stand-in for reports and settings of hosted nodes in tests and soak

Cause: three copies of the settings' text and of a report's fields. Change: platformstand has send_report, ask_ready and SETTINGS; the soak keeps what only it needs.

--- a/soak/soakchecks.py
+++ b/soak/soakchecks.py
@@ -6,13 +6,15 @@
 from soakcallers import CALL_KINDS, TIMEOUT_SECONDS
 from soakfaults import PLANNED_KINDS, harms_callers
 from soakfleet import COLD_RATE
-from soakmachine import BUDGET_RATIO, BUDGET_SECONDS, BUDGET_SLACK
+from soakmachine import BUDGET_SLACK
 from soakplan import FaultKind
 from soakserver import make_proof
 
 # Statuses that promise that a request did not and will not run.
 UNRUN_STATUSES = frozenset((408, 421, 429, 503))
 # Bounds that the users' site files state.
+BUDGET_RATIO = 0.2
+BUDGET_SECONDS = 10.0
 DRAIN_SECONDS = 2.5
 TAKE_OUT_SECONDS = 5.0
 CONTACT_SECONDS = 3.0
--- a/soak/soakmachine.py
+++ b/soak/soakmachine.py
@@ -1,6 +1,5 @@
 """One VM of a soak: a node as a process, a backend server, and their paths."""
 
-import json
 import os
 import pathlib
 import signal
@@ -10,7 +9,7 @@
 import time
 
 from godwitrack.settings import Address
-from platformstand import send
+from platformstand import SETTINGS, ask_ready, send_report
 from soakplan import PathName
 from soakproxy import FaultProxy
 from soakserver import SoakServer
@@ -26,31 +25,11 @@
 REPORTS_PORT = 8306
 LINKS_PORT = 7620
 SERVER_PORT = 8301
-BUDGET_RATIO = 0.2
 BUDGET_SLACK = 20.0
-BUDGET_SECONDS = 10.0
-SETTINGS = """
-nodeName = "node-{number}"
-ip = "{ip}"
-zone = "{data_centre}"
-region = "{region}"
-internalPorts = [{links},{links}]
+# Fields that only a soak needs: the way through the proxies, and one secret for all.
+EXTRA_SETTINGS = """
 advertisedLinks = "{advertised}"
 linkSecret = "shared by the nodes of a soak"
-heartbeatS = {beat}
-appAddr = "{server}"
-service = "{service}"
-[listenAddrs]
-outbound = "{ip}:{callers}"
-readiness = "{ip}:{readiness}"
-control = "{ip}:{reports}"
-[bounds]
-graceS = 6
-budgetRatio = {ratio}
-budgetWindowS = {window}
-budgetSlack = {slack}
-[platform]
-address = "{store}"
 """
 
 
@@ -133,11 +112,7 @@
 
     def is_ready(self):
         """Tell whether the node says that it is ready."""
-        try:
-            address = Address(self._ip, READINESS_PORT)
-            return send(address, "GET", "/-/ready").status == 200
-        except OSError:
-            return False
+        return ask_ready(Address(self._ip, READINESS_PORT))
 
     def start(self):
         """Start the node where it does not run."""
@@ -247,55 +222,35 @@
 
     def _report(self, server, state):
         """Send one report; returns whether it was taken."""
-        server.sequence += 1
-        info = {
-            "service": server.service,
-            "version": "v1",
-            "zone": self.place.data_centre,
-            "capacity": server.slots,
-        }
-        status = {
-            "state": state,
-            "sequence": server.sequence,
-            "warmupLeftS": server.cold_seconds,
-        }
-        data = {
-            "address": self._server_address,
-            "born": server.born,
-            "info": info,
-            "status": status,
-        }
-        path = f"/-/instances/{server.instance}"
+        address = Address(self._ip, REPORTS_PORT)
+        place = self.place.data_centre
+        own = self._server_address
         try:
-            address = Address(self._ip, REPORTS_PORT)
-            answer = send(address, "PUT", path, body=json.dumps(data).encode())
+            return send_report(address, server, place, state, address=own) == 200
         except OSError:
             return False
-        return answer.status == 200
 
     @property
     def _server_address(self):
         return _join(self.paths[PathName.SERVER].address)
 
     def _render_settings(self):
-        store = self.paths[PathName.STORE].address
+        advertised = _join(self.paths[PathName.LINKS].address)
         return SETTINGS.format(
-            number=self.number,
+            name=f"node-{self.number}",
             ip=self._ip,
             data_centre=self.place.data_centre,
             region=self.place.region,
-            service=self.place.service,
             links=LINKS_PORT,
-            advertised=_join(self.paths[PathName.LINKS].address),
             beat=BEAT_SECONDS,
             server=self._server_address,
-            callers=CALLERS_PORT,
-            readiness=READINESS_PORT,
-            reports=REPORTS_PORT,
-            ratio=BUDGET_RATIO,
-            window=BUDGET_SECONDS,
+            service=self.place.service,
+            extra=EXTRA_SETTINGS.format(advertised=advertised),
+            callers=f"{self._ip}:{CALLERS_PORT}",
+            readiness=f"{self._ip}:{READINESS_PORT}",
+            reports=f"{self._ip}:{REPORTS_PORT}",
             slack=BUDGET_SLACK,
-            store=_join(store),
+            store=_join(self.paths[PathName.STORE].address),
         )
 
 
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -32,6 +32,30 @@
         time.sleep(POLL_SECONDS)
 
 
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{data_centre}"
+region = "{region}"
+internalPorts = [{links},{links}]
+heartbeatS = {beat}
+appAddr = "{server}"
+service = "{service}"
+{extra}
+[listenAddrs]
+outbound = "{callers}"
+readiness = "{readiness}"
+control = "{reports}"
+[bounds]
+graceS = 6
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = {slack}
+[platform]
+address = "{store}"
+"""
+
+
 class HttpStand:
     """Serves HTTP in this process; subclasses answer the requests."""
 
@@ -293,37 +317,16 @@
 
     def report(self, state="ready", **changes):
         """Send one report of the backend server; returns the status."""
-        app = self.app
-        app.sequence += 1
-        data = {
-            "address": str(app.address),
-            "born": app.born,
-            "info": {
-                "service": app.service,
-                "version": "v1",
-                "zone": self.settings.data_centre,
-                "capacity": app.slots,
-            },
-            "status": {
-                "state": state,
-                "sequence": app.sequence,
-                "warmupLeftS": app.cold_seconds,
-            },
-            **changes,
-        }
-        body = json.dumps(data).encode()
-        path = f"/-/instances/{app.instance}"
-        return send(self.settings.reports, "PUT", path, body=body).status
+        changes = {"address": str(self.app.address), **changes}
+        place = self.settings.data_centre
+        return send_report(self.settings.reports, self.app, place, state, **changes)
 
     def leave(self):
         path = f"/-/instances/{self.app.instance}"
         return send(self.settings.reports, "DELETE", path).status
 
     def is_ready(self):
-        try:
-            return send(self.settings.readiness, "GET", "/-/ready").status == 200
-        except OSError:
-            return False
+        return ask_ready(self.settings.readiness)
 
     def _report_often(self):
         while not self._stopped.wait(REPORT_SECONDS):
@@ -426,6 +429,44 @@
         caller.close()
 
 
+def ask_ready(address):
+    """Tell whether the node that answers at an address says that it is ready."""
+    try:
+        return send(address, "GET", "/-/ready").status == 200
+    except OSError:
+        return False
+
+
+def send_report(reports, app, data_centre, state, **changes):
+    """Send the next report of an AppStand; returns the status.
+
+    Args:
+        reports: Address where the node takes them.
+        app: AppStand.
+        data_centre: Name of its data centre.
+        state: State that it reports.
+        changes: Fields of the report that differ, among them "address".
+    """
+    app.sequence += 1
+    data = {
+        "born": app.born,
+        "info": {
+            "service": app.service,
+            "version": "v1",
+            "zone": data_centre,
+            "capacity": app.slots,
+        },
+        "status": {
+            "state": state,
+            "sequence": app.sequence,
+            "warmupLeftS": app.cold_seconds,
+        },
+        **changes,
+    }
+    body = json.dumps(data).encode()
+    return send(reports, "PUT", f"/-/instances/{app.instance}", body=body).status
+
+
 def make_request_headers(request_id, seconds=5.0):
     return [
         ("Godwitrack-Request-Id", request_id),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,44 +13,21 @@
 from godwitrack.settings import Address
 from godwitrack_ctl.cmdline import main
 from platformstand import (
+    SETTINGS,
     AppStand,
     StoreStand,
+    ask_ready,
     find_free_ports,
     make_config,
     make_request_headers,
     make_route,
     make_service,
     send,
+    send_report,
     wait_for,
 )
 
 ROOT = pathlib.Path(__file__).parents[1]
-SETTINGS = """
-nodeName = "node-1"
-ip = "127.0.0.1"
-zone = "dc-a"
-region = "north"
-internalPorts = [{links},{links}]
-heartbeatS = 0.3
-appAddr = "{app}"
-service = "scenbok"
-[listenAddrs]
-outbound = "127.0.0.1:{callers}"
-readiness = "127.0.0.1:{readiness}"
-control = "127.0.0.1:{reports}"
-[bounds]
-graceS = 6
-budgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 64
-[platform]
-address = "{store}"
-"""
-REPORT = (
-    '{{"address":"{address}","born":{born},"info":{{"service":"scenbok","version":"v1",'
-    '"zone":"dc-a","capacity":{slots}}},"status":{{"state":"ready","sequence":{number},'
-    '"warmupLeftS":0}}}}'
-)
 
 
 class NodeProcess:
@@ -68,11 +45,19 @@
         path = self.settings = folder / "local.toml"
         path.write_text(
             SETTINGS.format(
-                callers=ports[0],
-                readiness=ports[1],
-                reports=ports[2],
+                name="node-1",
+                ip="127.0.0.1",
+                data_centre="dc-a",
+                region="north",
                 links=ports[3],
-                app=self.app.address,
+                beat=0.3,
+                server=self.app.address,
+                service="scenbok",
+                extra="",
+                callers=self.callers,
+                readiness=self.readiness,
+                reports=self.reports,
+                slack=64,
                 store=self.store.address,
             )
         )
@@ -93,16 +78,10 @@
         self.store.put("op", "config", make_config(version, *routes, service))
 
     def wait_ready(self):
-        wait_for(self._is_ready)
-        self.app.sequence += 1
-        body = REPORT.format(
-            address=self.app.address,
-            born=self.app.born,
-            slots=self.app.slots,
-            number=self.app.sequence,
-        ).encode()
-        path = f"/-/instances/{self.app.instance}"
-        assert send(self.reports, "PUT", path, body=body).status == 200
+        wait_for(lambda: ask_ready(self.readiness))
+        address = str(self.app.address)
+        status = send_report(self.reports, self.app, "dc-a", "ready", address=address)
+        assert status == 200
         wait_for(lambda: self.ask("ready", "/write/1") == 200)
 
     def ask(self, request_id, path):
@@ -120,12 +99,6 @@
         self._executor.shutdown(wait=False)
         return status
 
-    def _is_ready(self):
-        try:
-            return send(self.readiness, "GET", "/-/ready").status == 200
-        except OSError:
-            return False
-
 
 @pytest.fixture
 def process(tmp_path):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,13 @@
 """Tests of the soak: its plan, proxy and checks, and seeds that failed once."""
 
 import socket
-import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from godwitrack.settings import Address
+from godwitrack_node.httpserver import ConnectionServer
 from platformstand import Answer
 from soakcallers import CALL_KINDS, SentCall
 from soakchecks import SoakRecord, count_most
@@ -57,41 +59,22 @@
         parse_seeds(text)
 
 
-class EchoServer:
-    """Sends back what it gets."""
-
-    def __init__(self):
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = self._socket.getsockname()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            try:
-                sock, _ = self._socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._echo, args=(sock,), daemon=True).start()
-
-    def _echo(self, sock):
-        try:
-            while data := sock.recv(1024):
-                sock.sendall(data)
-        except OSError:
-            return
-
-    def close(self):
-        self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
+def echo(sock, remote):
+    """Send back what comes."""
+    while data := sock.recv(1024):
+        sock.sendall(data)
 
 
 @pytest.fixture
 def proxy():
-    server = EchoServer()
-    proxy = FaultProxy("127.0.0.1", server.address)
-    yield proxy
-    proxy.close()
-    server.close()
+    with ThreadPoolExecutor(10) as executor:
+        server = ConnectionServer(executor, Address("127.0.0.1", 0), echo, 10)
+        server.start()
+        proxy = FaultProxy("127.0.0.1", server.address)
+        yield proxy
+        proxy.close()
+        server.close()
+        server.interrupt()
 
 
 @pytest.fixture
