Learn a server's limit also where it is always full

What is usual was only learned from runs on a server that is 20 to 70 percent full, which it never was. Ruled out: slow phases (answers at a slowness of 120 percent and below), the cold start (over). Change: while it is not known which limit is better, both take turns of half a second; a run counts for what its server was both at its start and at its end.

--- a/packages/godwitrack_node/src/godwitrack_node/limits.py
+++ b/packages/godwitrack_node/src/godwitrack_node/limits.py
@@ -2,7 +2,9 @@
 
 Load pattern: a burst that fills a backend server. Some work as fast when all slots
 are taken; others slow everything down when nearly full, and then do more with less.
-Which kind this one is shows in how long like requests take when it is full.
+Which kind this one is shows in how long like requests take when it is full. A server
+that has more to do than it can from its start on is never seen half full, so that
+both limits take turns until it is known which one is better.
 """
 
 import math
@@ -11,7 +13,9 @@
 # Servers that slow down do so above four fifths of their slots.
 REDUCED_SHARE = 0.8
 FULL_FILL = 0.9
-MIDDLE_FILL = (0.2, 0.7)
+MIDDLE_FILL = (0.2, REDUCED_SHARE)
+# Several runs long, so that most run under the limit that let them in.
+TURN_SECONDS = 0.5
 MAX_USUAL_SLOWNESS = 120
 MIN_BASE_SAMPLES = 5
 MIN_FULL_SAMPLES = 40
@@ -49,31 +53,43 @@
         self._count = 0
         self._sum = 0.0
         self._decided_at = None
+        self._turned_at = None
         self.share = FULL_SHARE
 
-    def record(self, kind, seconds, fill, slowness, now):
+    def record(self, kind, seconds, fills, slowness, now):
         """Take one answer.
 
         Args:
             kind: Hashable that groups requests of like duration.
             seconds: Time that it took.
-            fill: Share of the slots in use while it ran.
+            fills: Shares of the slots in use when it started and when it ended.
             slowness: Percent of the usual time that work took, or None.
             now: Monotonic time in seconds.
         """
+        self._forget(now)
+        self._take_turns(now)
         if slowness is not None and slowness > MAX_USUAL_SLOWNESS:
             return
-        self._forget(now)
         value = math.log(max(seconds, 1e-6))
+        least, most = min(fills), max(fills)
         base = self._bases.get(kind)
-        if MIDDLE_FILL[0] <= fill <= MIDDLE_FILL[1]:
+        if MIDDLE_FILL[0] <= least and most <= MIDDLE_FILL[1]:
             if base is None and len(self._bases) < MAX_KINDS:
                 base = self._bases[kind] = _Base()
             if base is not None:
                 base.add(value)
-        elif fill >= FULL_FILL and base is not None and base.count >= MIN_BASE_SAMPLES:
+        elif least >= FULL_FILL and base is not None and base.count >= MIN_BASE_SAMPLES:
             self._take_full(value - base.mean, now)
 
+    def _take_turns(self, now):
+        """Change to the other limit when it is its turn, while neither is chosen."""
+        if self._turned_at is None:
+            self._turned_at = now
+        if self._decided_at is not None or now - self._turned_at < TURN_SECONDS:
+            return
+        self._turned_at = now
+        self.share = REDUCED_SHARE if self.share == FULL_SHARE else FULL_SHARE
+
     def _take_full(self, excess, now):
         self._count += 1
         self._sum += excess
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -245,9 +245,10 @@
         with self._lock:
             if self._cold_rate is not None:
                 return
-            fill = min(entrant.running + 1, self._running) / max(self._slots, 1)
+            slots = max(self._slots, 1)
+            fills = ((entrant.running + 1) / slots, self._running / slots)
             seconds = now - entrant.started_at
-            self._finder.record(kind, seconds, fill, slowness, now)
+            self._finder.record(kind, seconds, fills, slowness, now)
 
     def _offer(self, entrant):
         """Decide about a new request; returns whether it may run at once."""
