Try the only server once more where its connection could not be opened

Customers of one home region have a single server then; a connection that did not open in time left no other one, and the entry refused at once. Ruled out: the retry budget and the deadline (one refusal in all), a server that refused (another kind). Change: where no other server is left, servers that could not be connected to are tried once more after 50 ms, out of the retry budget. Conclusion: one connection that does not open no longer decides over a request.

--- a/packages/godwitrack_lab/src/godwitrack_lab/network.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/network.py
@@ -16,6 +16,7 @@
             region but its own.
         connections: Links opened between regions.
         lost_connections: How many of them, counted from the first, are silent.
+        unopened: How many of the next links can't be opened.
     """
 
     def __init__(self, platform_region):
@@ -24,6 +25,7 @@
         self.is_cut = False
         self.connections = 0
         self.lost_connections = 0
+        self.unopened = 0
 
     def lose_connections(self):
         """Let the links open now fall silent for good, while new ones work."""
@@ -37,6 +39,9 @@
         """Return the function with which nodes of a region open links."""
 
         def connect(address, authenticator, timeout):
+            if self.unopened > 0:
+                self.unopened -= 1
+                raise LinkError(f"{address}: timed out")
             far = self._regions.get(address, region) != region
             if far and self.is_cut:
                 time.sleep(min(timeout, MAX_SILENCE_SECONDS))
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -12,7 +12,11 @@
 )
 from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
 from godwitrack_node.httpserver import DEFAULT_LIMITS, HOP_HEADERS
-from godwitrack_node.retries import RetryBudget, RetryRule
+from godwitrack_node.retries import (
+    RECONNECT_PAUSE_SECONDS,
+    RetryBudget,
+    RetryRule,
+)
 
 DROP_HEADERS = HOP_HEADERS | {
     "authorization",
@@ -165,6 +169,10 @@
             except RequestError as error:
                 if not error.answer.not_run:
                     uncertain = uncertain or error
+                if self._may_start_over(errand, error, refusal):
+                    tried.clear()
+                    self._clock.sleep(RECONNECT_PAUSE_SECONDS)
+                    continue
                 if not self._may_retry(errand, error, source, sink):
                     if not sink.is_started and sink.release_held():
                         break
@@ -233,6 +241,14 @@
         if load.revision > self._configurations.current.revision:
             self._configurations.hint(view.record.address)
 
+    def _may_start_over(self, errand, error, refusal):
+        """Tell whether the servers that were tried may be tried again."""
+        if error.kind is not ErrorKind.NO_SERVER:
+            return False
+        if errand.deadline <= self._clock.read_monotonic() + RECONNECT_PAUSE_SECONDS:
+            return False
+        return errand.retry_rule.allows_again(refusal)
+
     def _may_retry(self, errand, error, source, sink):
         if sink.is_started or source.is_touched:
             return False
--- a/packages/godwitrack_node/src/godwitrack_node/retries.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retries.py
@@ -1,10 +1,16 @@
-"""The retry budget: retries may only be a share of the requests that went well."""
+"""Whether a request is tried once more, out of a budget of retries.
+
+Load pattern: servers that fail or can't be reached while others work, or while there
+is no other one. Retries may only be a share of the requests that went well.
+"""
 
 import threading
 
 from godwitrack.exceptions import ErrorKind
 
 MAX_ATTEMPTS = 4
+# A node that starts again, or a full queue of new connections, needs a moment.
+RECONNECT_PAUSE_SECONDS = 0.05
 REPEATABLE_KINDS = frozenset(
     (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_LOST, ErrorKind.BACKEND_FAILED)
 )
@@ -54,13 +60,20 @@
         attempts: Attempts made.
     """
 
-    __slots__ = ("_budget", "attempts", "idempotent", "retries_left")
+    __slots__ = (
+        "_budget",
+        "_has_started_over",
+        "attempts",
+        "idempotent",
+        "retries_left",
+    )
 
     def __init__(self, budget, idempotent, retries_left):
         self._budget = budget
         self.idempotent = idempotent
         self.retries_left = retries_left
         self.attempts = 0
+        self._has_started_over = False
 
     def may_repeat(self, status):
         """Tell whether an answer with this status could make way for another one.
@@ -74,6 +87,22 @@
             and (status in REPEATABLE_STATUSES)
         )
 
+    def allows_again(self, refusal):
+        """Tell whether servers that were tried may be tried again, and count it if so.
+
+        Once a request, where no other server is left: a connection that can't be
+        opened says little of the server, and the request was not sent.
+
+        Args:
+            refusal: RequestError that ended the last attempt, or None.
+        """
+        if refusal is None or refusal.kind is not ErrorKind.BACKEND_UNREACHABLE:
+            return False
+        if self._has_started_over or self.attempts >= MAX_ATTEMPTS:
+            return False
+        self._has_started_over = self._budget.withdraw()
+        return self._has_started_over
+
     def allows(self, error):
         """Tell whether a further attempt may follow, and count it if so.
 
