--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -230,8 +230,7 @@
 
     The field `request_id` names this one attempt, `caller_id` is the id that the
     caller gave, and `instance` the id of the backend server's process that was
-    chosen. `objective_ms` is the time within which an answer is worth most, counted
-    from the caller's first try, and `waited_ms` what of it was over on arrival.
+    chosen. `objective_ms` is the time within which an answer is worth most.
     """
 
     TAG = 16
@@ -250,7 +249,6 @@
         ("regions", list),
         ("priority", int),
         ("objective_ms", float),
-        ("waited_ms", float),
         ("deadline_ms", float),
         ("is_regional", bool),
         ("length", int),
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -4,7 +4,6 @@
 from godwitrack.logs import find_logger
 from godwitrack.messages import RoutedCall
 from godwitrack_node.attempt import LocalAttempt, RefusedByNode, RemoteAttempt
-from godwitrack_node.callerages import CallerAges
 from godwitrack_node.callhandler import CallHandler
 from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
 from godwitrack_node.repeats import RepeatRule, is_refusal
@@ -37,7 +36,6 @@
         received_at: Monotonic time of its arrival in seconds.
         deadline: Monotonic time in seconds.
         caller_deadline: Monotonic time until which the caller waits, in seconds.
-        waited: Seconds for which the caller had waited before it arrived.
         route: HostRoute, or None.
         service: Name of the service that it goes to, or "".
         rule: RepeatRule, or None.
@@ -66,7 +64,6 @@
         "service",
         "status",
         "target",
-        "waited",
     )
 
     customer = ""
@@ -82,7 +79,6 @@
         self.received_at = now
         self.deadline = now
         self.caller_deadline = now
-        self.waited = 0.0
         self.route = None
         self.service = ""
         self.rule = None
@@ -125,7 +121,6 @@
         self._share = share
         self._splitter = SplitChooser()
         self._timer = ReturnTimer()
-        self._ages = CallerAges(clock)
         self._routes = None
         self._roster = None
         self._pool = None
@@ -187,8 +182,6 @@
         timeout = self._dialect.read_timeout(request)
         if timeout is None:
             timeout = max(route.timeout, DEFAULT_TIMEOUT_SECONDS)
-        elif not errand.is_nested:
-            errand.waited = self._ages.estimate(route.name, timeout)
         errand.caller_deadline = errand.received_at + timeout
         errand.deadline = errand.received_at + min(timeout, route.timeout)
         errand.service = self._splitter.choose(route)
@@ -317,9 +310,7 @@
         return error
 
     def _make_call(self, errand, request, member, body, more):
-        now = self._clock.read_monotonic()
-        left = errand.deadline - now
-        waited = errand.waited + now - errand.received_at
+        left = errand.deadline - self._clock.read_monotonic()
         route = errand.route
         return RoutedCall(
             f"{errand.attempt_prefix}.{errand.attempts}",
@@ -336,7 +327,6 @@
             sorted(route.regions),
             route.priority,
             route.objective * 1000.0,
-            waited * 1000.0,
             max(left, 0.001) * 1000.0,
             member.region != self._identity.region,
             request.length,
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -2,8 +2,7 @@
 
 Load pattern: a burst beyond what the backend server works on well. It gets no more
 than that at once; a short queue here goes by urgency, and what would wait too long
-is refused when it arrives, so that its entry can try another server in time. Those
-that come back late, after refusals, do not make those that come first late, too.
+is refused when it arrives, so that its entry can try another server in time.
 """
 
 import collections
@@ -14,8 +13,6 @@
 from godwitrack_node.speed import SpeedGauge
 
 WAIT_SHARE = 0.5
-# The work itself and the way there and back take the rest of the objective.
-LATE_SHARE = 0.6
 PRIORITY_STEP_SHARE = 0.1
 SERVICE_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.05
@@ -35,7 +32,6 @@
         is_nested: Whether a request that already runs waits for it.
         objective: Time within which its answer is worth most, in seconds.
         deadline: Monotonic time after which nobody waits for it, in seconds.
-        waited: Seconds of the objective that were over when it arrived.
         arrived_at: Monotonic time of its arrival.
         started_at: Monotonic time at which it was let through, or None.
         ended_at: Monotonic time at which its run ended, or None.
@@ -54,15 +50,13 @@
         "refusal",
         "running",
         "started_at",
-        "waited",
     )
 
-    def __init__(self, priority, objective, deadline, is_nested=False, waited=0.0):
+    def __init__(self, priority, objective, deadline, is_nested=False):
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
         self.is_nested = is_nested
-        self.waited = waited
         self.arrived_at = 0.0
         self.started_at = None
         self.ended_at = None
@@ -76,16 +70,11 @@
         latest = self.started_at + MAX_ARRIVAL_SECONDS
         return latest if self.ended_at is None else min(self.ended_at, latest)
 
-    @property
-    def is_late(self):
-        """Whether its answer will miss the objective, however soon it starts."""
-        return self.waited > LATE_SHARE * self.objective
-
     @property
     def order(self):
         """Sort key by which waiting requests start, lowest first."""
         step = self.priority * PRIORITY_STEP_SHARE * self.objective
-        return (not self.is_nested, self.is_late, self.arrived_at + step)
+        return (not self.is_nested, self.arrived_at + step)
 
     @property
     def wait_until(self):
@@ -208,55 +197,18 @@
             RequestError: It is refused and did not run.
             CallerGone: The caller left while it waited.
         """
-        if self.offer(entrant):
+        if self._offer(entrant):
             return
         self._measure_speed()
         while not entrant.wait(CHECK_SECONDS):
             if watch is not None and watch.fileno() >= 0 and watch.is_gone():
                 if self._withdraw(entrant):
                     raise CallerGone("the caller left the queue")
-            self.review(entrant)
+            self._review(entrant)
             self._measure_speed()
         if entrant.refusal is not None:
             raise RequestError(entrant.refusal)
 
-    def offer(self, entrant):
-        """Decide about a new request; returns whether it may run at once.
-
-        Args:
-            entrant: Entrant, which waits if it neither starts nor is refused.
-
-        Raises:
-            RequestError: It would wait for too long.
-        """
-        now = self._clock.read_monotonic()
-        entrant.arrived_at = now
-        with self._lock:
-            if not self._queue and self._may_start(entrant, now):
-                self._start(entrant, now)
-                return True
-            self._check_wait(entrant, now)
-            self._queue.append(entrant)
-            self._queue.sort(key=_read_order)
-            started = self._start_waiting()
-        _wake(started)
-        return False
-
-    def review(self, entrant):
-        """Refuse a request that has waited for long, or start what may start.
-
-        Args:
-            entrant: Entrant that waits.
-        """
-        now = self._clock.read_monotonic()
-        with self._lock:
-            started = self._start_waiting()
-            if entrant in self._queue and now >= entrant.wait_until:
-                self._queue.remove(entrant)
-                entrant.refusal = ErrorKind.SERVER_BUSY
-                started.append(entrant)
-        _wake(started)
-
     def release(self, entrant, is_answered):
         """Give the place of a request back and let waiting ones through.
 
@@ -298,6 +250,21 @@
             seconds = now - entrant.started_at
             self._finder.record(kind, seconds, fills, slowness, now)
 
+    def _offer(self, entrant):
+        """Decide about a new request; returns whether it may run at once."""
+        now = self._clock.read_monotonic()
+        entrant.arrived_at = now
+        with self._lock:
+            if not self._queue and self._may_start(entrant, now):
+                self._start(entrant, now)
+                return True
+            self._check_wait(entrant, now)
+            self._queue.append(entrant)
+            self._queue.sort(key=_read_order)
+            started = self._start_waiting()
+        _wake(started)
+        return False
+
     def _check_wait(self, entrant, now):
         """Refuse a request that would wait for too long."""
         ahead = sum(item.order <= entrant.order for item in self._queue)
@@ -349,6 +316,17 @@
                 self._start(entrant, now)
         return decided
 
+    def _review(self, entrant):
+        """Refuse a request that has waited for long, or start what may start."""
+        now = self._clock.read_monotonic()
+        with self._lock:
+            started = self._start_waiting()
+            if entrant in self._queue and now >= entrant.wait_until:
+                self._queue.remove(entrant)
+                entrant.refusal = ErrorKind.SERVER_BUSY
+                started.append(entrant)
+        _wake(started)
+
     def _withdraw(self, entrant):
         with self._lock:
             if entrant not in self._queue:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,8 +1,5 @@
 """Tests of godwitrack_node.waiting: bursts, cold starts and callers that leave."""
 
-import heapq
-import itertools
-import random
 import threading
 
 import pytest
@@ -60,9 +57,6 @@
     [
         ({"priority": 2}, {"priority": 1}),
         ({"is_nested": False}, {"is_nested": True}),
-        ({"waited": 0.7}, {"waited": 0.0}),
-        ({"waited": 0.7, "priority": 0}, {"waited": 0.1, "priority": 2}),
-        ({"is_nested": False}, {"is_nested": True, "waited": 0.7}),
     ],
     ids=str,
 )
@@ -158,86 +152,3 @@
     nested = make_entrant(clock, objective=0.08, left=0.4, is_nested=True)
     assert nested.wait_until > outer.wait_until
     assert nested.wait_until < nested.deadline
-
-
-class Burst:
-    """A burst at one server, whose refused callers come back, on a clock set by hand.
-
-    Attributes:
-        in_time: Requests that were answered within their objective.
-        served: Requests that were answered.
-    """
-
-    ARRIVALS_PER_SECOND = 180
-    SECONDS = 20.0
-    RUN_SECONDS = 0.1
-    OBJECTIVE_SECONDS = 0.3
-    RETURNS = 2
-
-    def __init__(self, clock, tells_age):
-        self._clock = clock
-        self._tells_age = tells_age
-        self._rng = random.Random(3)
-        self._room = WaitingRoom(clock, SLOTS)
-        self._events = []
-        self._number = itertools.count()
-        self.in_time = 0
-        self.served = 0
-
-    def play(self):
-        start = self._clock.read_monotonic()
-        for number in range(int(self.SECONDS * self.ARRIVALS_PER_SECOND)):
-            moment = start + number / self.ARRIVALS_PER_SECOND
-            self._add(moment, self._arrive, moment, self.RETURNS)
-        while self._events:
-            moment, _, action, values = heapq.heappop(self._events)
-            self._clock.advance(max(moment - self._clock.read_monotonic(), 0.0))
-            action(*values)
-        return self
-
-    def _add(self, moment, action, *values):
-        heapq.heappush(self._events, (moment, next(self._number), action, values))
-
-    def _arrive(self, born, returns):
-        now = self._clock.read_monotonic()
-        waited = now - born if self._tells_age else 0.0
-        entrant = make_entrant(
-            self._clock, objective=self.OBJECTIVE_SECONDS, waited=waited
-        )
-        try:
-            self._room.offer(entrant)
-        except RequestError:
-            self._send_back(born, returns)
-            return
-        self._look(entrant, born, returns)
-
-    def _look(self, entrant, born, returns):
-        now = self._clock.read_monotonic()
-        if entrant.started_at is not None:
-            end = entrant.started_at + self.RUN_SECONDS
-            self._add(end, self._end, entrant, born)
-            return
-        self._room.review(entrant)
-        if entrant.refusal is not None:
-            self._send_back(born, returns)
-            return
-        self._add(now + 0.001, self._look, entrant, born, returns)
-
-    def _end(self, entrant, born):
-        self._room.release(entrant, True)
-        self.served += 1
-        took = self._clock.read_monotonic() - born
-        self.in_time += took <= self.OBJECTIVE_SECONDS + 0.002
-
-    def _send_back(self, born, returns):
-        if returns:
-            moment = self._clock.read_monotonic() + self._rng.uniform(0.1, 0.4)
-            self._add(moment, self._arrive, born, returns - 1)
-
-
-def test_callers_that_come_back_late_do_not_make_new_ones_late(clock):
-    """The load pattern, beside the policy before it, which knows no age."""
-    before = Burst(clock, False).play()
-    after = Burst(clock, True).play()
-    assert after.in_time > 1.1 * before.in_time
-    assert after.served >= 0.97 * before.served
