Say what each limit and weight of the decisions is and where it comes from

Cause: units and reasons were missing beside constants of waiting, placing, limits, stops and attempts, and one name stood for a factor here and for a percentage there. Change: a line of comment where a reader would wonder; EXPECTED_SLOWNESS in placing. No behaviour changed.

--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -24,6 +24,7 @@
 from godwitrack_node.pacing import REGIONAL_FIRST_BYTES, PartSender
 
 QUERY_TIMEOUT_SECONDS = 1.0
+# Pauses between questions about a call whose link failed; they double.
 FIRST_PAUSE_SECONDS = 0.02
 MAX_PAUSE_SECONDS = 1.0
 
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -14,10 +14,12 @@
 BUFFERED_BODY_BYTES = 2**20
 # Time for the guard's last word on a request whose time is up.
 GRACE_SECONDS = 0.12
+# Silence after which a node is asked about a call, as a share of the objective.
 SILENCE_SHARE = 0.6
 MIN_SILENCE_SECONDS = 0.15
 # Three round trips between regions, and a busy node at either end.
 QUERY_SECONDS = 0.5
+# A server that waits for a health check gets it within that time.
 REFUSED_AWAY_SECONDS = 0.3
 PROBE_SECONDS = 0.25
 AWAY_KINDS = frozenset((ErrorKind.STOPPING, ErrorKind.STALE_INCARNATION))
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -12,8 +12,10 @@
 from godwitrack.hashing import hash_text
 from godwitrack.messages import FeedAnswer, FeedRequest
 
+# Length of a long poll at another node; silence shows after it and the margin.
 PEER_WAIT_SECONDS = 1.0
 PEER_MARGIN_SECONDS = 0.4
+# How long a source that failed is left out.
 SKIP_SECONDS = 2.0
 STORE_WAIT_SECONDS = {FeedTable.OPERATORS: 1.5, FeedTable.FLEET: 6.0}
 # Older content may lack a change that has to be in force by now.
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -11,11 +11,14 @@
 from godwitrack_node.speed import MEASURE_SECONDS
 from godwitrack_node.waiting import Entrant, WaitingRoom
 
+# A backend server accepts 260 connections from all that connect to it.
 CONNECTIONS = 200
 KEPT_BODY_BYTES = 64 * 1024
 # The backend server ends late work itself; its own word is worth the wait.
 DEADLINE_MARGIN_SECONDS = 0.06
+# Percent of the usual time.
 USUAL_SLOWNESS = 100
+# Failures come in bursts; one check of the backend server is enough for each.
 CHECK_GAP_SECONDS = 0.3
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -28,10 +28,14 @@
 from godwitrack_node.routing import Location
 from godwitrack_node.scheduler import Scheduler
 
+# Threads of requests are short; one that computes must not hold up the others.
 SWITCH_INTERVAL_SECONDS = 0.002
+# Each connection has a thread: callers, links of other nodes, ports.
 THREADS = 2000
 CALLERS = 1500
+# The budget of control traffic for each node at the size to design for.
 CONTROL_BYTES_PER_SECOND = 6000
+# Several round trips between regions.
 CONNECT_TIMEOUT_SECONDS = 0.3
 POLL_SECONDS = 0.02
 # Callers are sent elsewhere two missed questions, a second apart, after a stop begins.
--- a/packages/godwitrack_node/src/godwitrack_node/limits.py
+++ b/packages/godwitrack_node/src/godwitrack_node/limits.py
@@ -12,17 +12,22 @@
 FULL_SHARE = 1.0
 # Servers that slow down do so above four fifths of their slots.
 REDUCED_SHARE = 0.8
+# Shares of the slots in use at which a run counts as one on a full server.
 FULL_FILL = 0.9
 MIDDLE_FILL = (0.2, REDUCED_SHARE)
 # Several runs long, so that most run under the limit that let them in.
 TURN_SECONDS = 0.5
+# Percent of the usual time; slower runs tell of the VM's neighbours, not of the fill.
 MAX_USUAL_SLOWNESS = 120
 MIN_BASE_SAMPLES = 5
+# The mean of so many runs is within a tenth, where single ones scatter by a third.
 MIN_FULL_SAMPLES = 40
+# Weight of the newest run in the moving average of usual times.
 BASE_WEIGHT = 0.05
 # Less than this is not told from the spread of the work itself.
 SLOWDOWN = math.log(1.3)
 FORGET_SECONDS = 20.0
+# Bounds the memory, should operators have very many routes.
 MAX_KINDS = 500
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/linkpool.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkpool.py
@@ -7,6 +7,7 @@
 from godwitrack.link import open_link
 
 MAX_IDLE_FOR_ADDRESS = 8
+# Well below the time after which the other side closes an idle link.
 MAX_IDLE_SECONDS = 20.0
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -11,15 +11,23 @@
 # Reports are out of date as soon as the speed of a shared VM changes.
 REPORT_FADE_SECONDS = 0.3
 SPEED_FADE_SECONDS = 0.15
+# Costs are in units of a server with all slots in use at its best speed.
 OTHER_DATA_CENTRE_COST = 2.0
+# A slow moment makes work five times as long; only what lasts is worth the way.
 OTHER_REGION_COST = 8.0
+# Large bodies cost more on billed links than a late answer is worth.
 UPLOAD_FACTOR = 4.0
+# Spreads requests among servers of like cost.
 TIE = 0.02
-USUAL_SLOWNESS = 1.5
+# Speed that is expected of a server that told none lately, as a factor on the work.
+EXPECTED_SLOWNESS = 1.5
+# Failures count as load, so that a server that fails fast does not look idle.
 FAILURE_COST = 1.0
 FAILURE_FADE_SECONDS = 1.0
+# Pauses between looks at a node that can't be reached; they double up to the longest.
 DOWN_SECONDS = 0.5
 MAX_DOWN_SECONDS = 4.0
+# A server that stops or was taken out has its row changed well before that.
 AWAY_SECONDS = 2.0
 
 
@@ -95,7 +103,7 @@
         self._down_seconds = DOWN_SECONDS
         self._others = 0.0
         self._limit = max(member.slots, 1)
-        self._slowness = USUAL_SLOWNESS
+        self._slowness = EXPECTED_SLOWNESS
         self._reported_at = -math.inf
         self._failures = 0.0
         self._failed_at = -math.inf
@@ -156,7 +164,7 @@
         """Return the expected time to an answer, in relation to the usual one."""
         age = max(now - self._reported_at, 0.0)
         fade = math.exp(-age / SPEED_FADE_SECONDS)
-        slowness = USUAL_SLOWNESS + (self._slowness - USUAL_SLOWNESS) * fade
+        slowness = EXPECTED_SLOWNESS + (self._slowness - EXPECTED_SLOWNESS) * fade
         failures = FAILURE_COST * self._find_failures(now)
         return slowness * self.estimate_use(now) + failures
 
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -15,12 +15,15 @@
 )
 from godwitrack_node.roster import read_member, write_member
 
+# Health checks are billed, and reports and answers tell most changes sooner.
 HEALTH_SECONDS = 1.0
 HEALTH_TIMEOUT_SECONDS = 0.5
 SUSPECT_PROBE_SECONDS = 0.25
 TICK_SECONDS = 0.05
 MISSED_REPORTS = 3
+# A report is to be acknowledged within a second, whether its row was written or not.
 ACK_WAIT_SECONDS = 0.6
+# What a server says of its cold start is as old as the way of its answer.
 COLD_MARGIN_SECONDS = 0.2
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/repeats.py
+++ b/packages/godwitrack_node/src/godwitrack_node/repeats.py
@@ -8,6 +8,7 @@
 from godwitrack.exceptions import ErrorKind
 from godwitrack_node.retryshare import RUN_COST
 
+# A service that refuses three times in a row has no room; each try costs a message.
 MAX_REFUSALS = 3
 REPEATABLE_KINDS = frozenset(
     (
--- a/packages/godwitrack_node/src/godwitrack_node/retries.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retries.py
@@ -16,7 +16,9 @@
 )
 REPEATABLE_STATUSES = frozenset((502, 503, 504))
 
+# Retries that each answered request pays for.
 DEPOSIT = 0.2
+# Retries that a node has when it starts, and the most that it can save.
 RESERVE = 10.0
 LIMIT = 100.0
 
--- a/packages/godwitrack_node/src/godwitrack_node/retrypause.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retrypause.py
@@ -5,6 +5,7 @@
 """
 
 FIRST_PAUSE_SECONDS = 0.1
+# What comes back has to be known again within two seconds.
 MAX_PAUSE_SECONDS = 1.5
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/returning.py
+++ b/packages/godwitrack_node/src/godwitrack_node/returning.py
@@ -6,6 +6,7 @@
 
 import random
 
+# A queue at a server empties within about that time.
 MIN_RETURN_SECONDS = 0.1
 # Callers heed the time only up to a third of what they have left.
 MAX_SHARE_OF_TIME_LEFT = 0.3
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -12,13 +12,18 @@
 from godwitrack_node.limits import LimitFinder
 from godwitrack_node.speed import SpeedGauge
 
+# Share of a request's objective that it may wait; the rest is for the run and the way.
 WAIT_SHARE = 0.5
+# Head start of each rank over the next lower one, as a share of the objective.
 PRIORITY_STEP_SHARE = 0.1
+# Weight of the newest run in the moving average of their durations.
 SERVICE_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.05
+# How often a request that waits looks for its caller and its time.
 CHECK_SECONDS = 0.025
 # A request must have this share of the usual service time left to be worth a try.
 MIN_SERVICE_SHARE = 0.5
+# Platforms state what a cold server bears as requests in any one second.
 COLD_WINDOW_SECONDS = 1.0
 # A request without an answer is taken to have arrived by then.
 MAX_ARRIVAL_SECONDS = 0.5
