Split the tests' stand-ins by what they stand for

Cause: platformstand.py had grown to 519 lines: stand-ins, callers and operators' rows, and a second find_free_ports beside that of godwitrack_lab. Change: callerstand.py and operatorsrows.py; find_ports for all.

--- a/soak/soakfleet.py
+++ b/soak/soakfleet.py
@@ -4,7 +4,9 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from platformstand import StoreStand, make_config, make_route, make_service, wait_for
+from callerstand import wait_for
+from operatorsrows import make_config, make_route, make_service
+from platformstand import StoreStand
 from soakcallers import CALL_KINDS, CALLERS_PER_NODE, TIMEOUT_SECONDS, SoakCaller
 from soakmachine import Place, SoakMachine
 
--- a/soak/soakmachine.py
+++ b/soak/soakmachine.py
@@ -8,8 +8,9 @@
 import threading
 import time
 
+from callerstand import ask_ready
 from godwitrack.settings import Address
-from platformstand import SETTINGS, ask_ready, send_report
+from platformstand import SETTINGS, send_report
 from soakplan import PathName
 from soakproxy import FaultProxy
 from soakserver import SoakServer
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -2,22 +2,22 @@
 
 import base64
 import json
-import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from urllib.parse import parse_qs, urlsplit
 
+from callerstand import ask_ready, send, wait_for
 from godwitrack.exceptions import CallerGone, RequestError
 from godwitrack.settings import Address
 from godwitrack.watch import Watch
+from godwitrack_lab.deployment import find_ports
 from godwitrack_node.hostednode import HostedNode, HostedSettings
 from godwitrack_node.httpserver import ConnectionServer, HttpConnection
 from godwitrack_node.retryshare import RetryLimits
 from godwitrack_platform.main import make_adapter
 from godwitrack_platform.settings import PlatformSettings
 
-WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.02
 REPORT_SECONDS = 0.3
 LOCAL = Address("127.0.0.1", 0)
@@ -25,13 +25,6 @@
 FLEET = "fleet"
 
 
-def wait_for(check, seconds=WAIT_SECONDS):
-    deadline = time.monotonic() + seconds
-    while not check():
-        assert time.monotonic() < deadline, "did not happen in time"
-        time.sleep(POLL_SECONDS)
-
-
 SETTINGS = """
 nodeName = "{name}"
 ip = "{ip}"
@@ -272,7 +265,7 @@
     def __init__(self, fleet, number, service, data_centre):
         self.fleet = fleet
         self.app = AppStand(fleet.executor, service, f"i-{number}")
-        ports = find_free_ports(4)
+        ports = find_ports(4)
         addresses = [Address("127.0.0.1", port) for port in ports]
         self.settings = HostedSettings(
             name=f"node-{number}",
@@ -376,67 +369,6 @@
         self.executor.shutdown(wait=False, cancel_futures=True)
 
 
-class Answer:
-    """What a caller got."""
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
-class Caller:
-    """A caller's connection."""
-
-    def __init__(self, address):
-        self.sock = socket.create_connection((address.host, address.port), WAIT_SECONDS)
-        self._data = b""
-
-    def send(self, method, path, host="h.example", body=b"", headers=()):
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        lines.append(f"Content-Length: {len(body)}")
-        self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-
-    def read(self):
-        while b"\r\n\r\n" not in self._data:
-            self._receive()
-        head, _, self._data = self._data.partition(b"\r\n\r\n")
-        first, *lines = head.decode().split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines)
-        length = int(headers.get("content-length", 0))
-        while len(self._data) < length:
-            self._receive()
-        body, self._data = self._data[:length], self._data[length:]
-        return Answer(int(first.split()[1]), headers, body)
-
-    def _receive(self):
-        data = self.sock.recv(65536)
-        if not data:
-            raise ConnectionError("closed without an answer")
-        self._data += data
-
-    def close(self):
-        self.sock.close()
-
-
-def send(address, method, path, **options):
-    caller = Caller(address)
-    try:
-        caller.send(method, path, **options)
-        return caller.read()
-    finally:
-        caller.close()
-
-
-def ask_ready(address):
-    """Tell whether the node that answers at an address says that it is ready."""
-    try:
-        return send(address, "GET", "/-/ready").status == 200
-    except OSError:
-        return False
-
-
 def send_report(reports, app, data_centre, state, **changes):
     """Send the next report of an AppStand; returns the status.
 
@@ -465,55 +397,3 @@
     }
     body = json.dumps(data).encode()
     return send(reports, "PUT", f"/-/instances/{app.instance}", body=body).status
-
-
-def make_request_headers(request_id, seconds=5.0):
-    return [
-        ("Godwitrack-Request-Id", request_id),
-        ("Godwitrack-Timeout-Ms", str(int(seconds * 1000))),
-    ]
-
-
-def make_route(name, prefix, service, kind="idempotent", **changes):
-    spec = {
-        "host": "h.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeoutS": 3.0,
-        "sloS": 2.0,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 2,
-        "allowedRegions": [],
-        **changes,
-    }
-    return {"entryKind": "routes", "metadata": {"name": name}, "spec": spec}
-
-
-def make_service(name, warmup_rate=20.0):
-    spec = {
-        "healthPath": "/health",
-        "maxConnections": 100,
-        "warmupS": 1.0,
-        "warmupPerS": warmup_rate,
-    }
-    return {"entryKind": "services", "metadata": {"name": name}, "spec": spec}
-
-
-def make_config(version, *resources):
-    limits = {
-        "headerBytes": 16384,
-        "maxBodyBytes": 2**20,
-        "headerTimeoutS": 3,
-        "idleTimeoutS": 15,
-    }
-    entry = {"entryKind": "limits", "metadata": {}, "spec": limits}
-    return {"version": f"r{version}", "resources": [*resources, entry]}
-
-
-def find_free_ports(count):
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,22 +10,12 @@
 
 import pytest
 
+from callerstand import ask_ready, make_request_headers, send, wait_for
 from godwitrack.settings import Address
 from godwitrack_ctl.cmdline import main
-from platformstand import (
-    SETTINGS,
-    AppStand,
-    StoreStand,
-    ask_ready,
-    find_free_ports,
-    make_config,
-    make_request_headers,
-    make_route,
-    make_service,
-    send,
-    send_report,
-    wait_for,
-)
+from godwitrack_lab.deployment import find_ports
+from operatorsrows import make_config, make_route, make_service
+from platformstand import SETTINGS, AppStand, StoreStand, send_report
 
 ROOT = pathlib.Path(__file__).parents[1]
 
@@ -38,7 +28,7 @@
         self.store = StoreStand(self._executor)
         self.app = AppStand(self._executor, "scenbok", "i-1")
         self.app.slots = 1
-        ports = find_free_ports(4)
+        ports = find_ports(4)
         self.callers, self.readiness, self.reports = (
             Address("127.0.0.1", port) for port in ports[:3]
         )
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -5,19 +5,12 @@
 
 import pytest
 
+from callerstand import Caller, make_request_headers, send, wait_for
 from godwitrack.feed import FeedTable
 from godwitrack_node.feedsources import MAX_AGE_SECONDS
 from godwitrack_node.httpserver import HttpRequest
-from platformstand import (
-    Caller,
-    Fleet,
-    make_config,
-    make_request_headers,
-    make_route,
-    make_service,
-    send,
-    wait_for,
-)
+from operatorsrows import make_config, make_route, make_service
+from platformstand import Fleet
 
 PLACES = [("scenbok", "dc-a"), ("styrning", "dc-a"), ("scenbok", "dc-b")]
 RESOURCES = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from callerstand import Answer
 from godwitrack.settings import Address
 from godwitrack_node.httpserver import ConnectionServer
-from platformstand import Answer
 from soakcallers import CALL_KINDS, SentCall
 from soakchecks import SoakRecord, count_most
 from soakfaults import Disturbance
