--- a/packages/godwitrack_node/src/godwitrack_node/limits.py
+++ b/packages/godwitrack_node/src/godwitrack_node/limits.py
@@ -12,8 +12,9 @@
 FULL_SHARE = 1.0
 # Servers that slow down do so above four fifths of their slots.
 REDUCED_SHARE = 0.8
-# Shares of the slots in use at which a run counts as one on a full server.
+# Share of the slots in use from which on a run counts as one on a full server.
 FULL_FILL = 0.9
+# Shares of the slots in use between which runs tell the usual time.
 MIDDLE_FILL = (0.2, REDUCED_SHARE)
 # Several runs long, so that most run under the limit that let them in.
 TURN_SECONDS = 0.5
@@ -26,6 +27,7 @@
 BASE_WEIGHT = 0.05
 # Less than this is not told from the spread of the work itself.
 SLOWDOWN = math.log(1.3)
+# Other neighbours may have come to the VM by then.
 FORGET_SECONDS = 20.0
 # Bounds the memory, should operators have very many routes.
 MAX_KINDS = 500
