Let a node that starts again wait out what its last process may have sent a cold server

Ruled out: the cap itself (20 before and 20 after), a server that hid its cold start (it said so). Change: a new process lets nothing start at a cold server for a second, unless the store's row says that its last process knew another server process; what would have to wait too long is refused on arrival. Servers that start with their nodes get work at once, as before. Conclusion: the promise of the cold cap holds across a restart of the node. It does not where the last process had not written its row yet (within some 0.1 s of its start, or the store away).

--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -14,6 +14,7 @@
     RetryPause,
 )
 from godwitrack_node.roster import read_member, write_member
+from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 
 # Health checks are billed, and reports and answers tell most changes sooner.
 HEALTH_SECONDS = 1.0
@@ -132,6 +133,7 @@
         self._probed_at = 0.0
         self._is_stopping = False
         self._rng = random.Random()
+        self._is_hold_decided = False
         self._log = find_logger("registration")
         self.instance = ""
         self.is_suspect = True
@@ -147,6 +149,8 @@
 
     def start(self):
         """Begin to check the backend server and to write the row."""
+        now = self._clock.read_monotonic()
+        self._guard.room.hold_cold(now + COLD_WINDOW_SECONDS)
         self._executor.submit(self._watch)
         self._executor.submit(self._write_rows)
 
@@ -187,6 +191,7 @@
                 report.is_leaving,
             )
             self.instance, self._is_leaving = report.instance, report.is_leaving
+        self._decide_hold()
         if is_new:
             self.is_suspect = False
         if is_new or changed:
@@ -262,7 +267,22 @@
         held = read_member(row)
         return held is not None and held.is_like(self._make_member())
 
+    def _decide_hold(self):
+        """Start at once unless this node's last process used the same server.
+
+        That may have sent as much as a cold server bears just before it ended. Its row
+        tells; the own one is written after this.
+        """
+        if self._is_hold_decided or not self.instance or self._replica.version < 0:
+            return
+        self._is_hold_decided = True
+        row = self._replica.find(self._own_address)
+        held = read_member(row) if row is not None else None
+        if held is None or held.instance != self.instance:
+            self._guard.room.hold_cold(0.0)
+
     def _check_row(self):
+        self._decide_hold()
         with self._written:
             self._written.notify_all()
         if not self._is_written():
@@ -329,6 +349,7 @@
             return
         self._slots = health.slots
         self.instance = instance
+        self._decide_hold()
         self._note_change("adopted")
 
     def _note_silence(self, now):
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -103,10 +103,20 @@
     """Limits the requests that reach a cold backend server in any second.
 
     When one arrives is known only within bounds: after its start, and before its end.
+    What an earlier process of this node sent is not known at all.
     """
 
     def __init__(self):
         self._started = collections.deque()
+        self._held_until = 0.0
+
+    def hold(self, until):
+        """Let nothing start before a monotonic time in seconds."""
+        self._held_until = until
+
+    def find_hold(self, now):
+        """Return the seconds for which nothing may start."""
+        return max(self._held_until - now, 0.0)
 
     def allows(self, rate, now):
         """Tell whether one more request may start.
@@ -115,6 +125,8 @@
             rate: Requests a second.
             now: Monotonic time in seconds.
         """
+        if now < self._held_until:
+            return False
         recent = sum(not _is_past(item, now) for item in self._started)
         return recent < max(int(rate * COLD_WINDOW_SECONDS), 1)
 
@@ -179,6 +191,15 @@
             started = self._start_waiting()
         _wake(started)
 
+    def hold_cold(self, until):
+        """Let nothing start while the backend server is cold, for a while.
+
+        Args:
+            until: Monotonic time of its end in seconds.
+        """
+        with self._lock:
+            self._cap.hold(until)
+
     def close(self, kind):
         """Refuse all that wait, as not run.
 
@@ -275,7 +296,7 @@
         ahead = sum(item.order <= entrant.order for item in self._queue)
         wait = (ahead + 1) * self._service_seconds / self.limit
         if self._cold_rate is not None:
-            wait = max(wait, (ahead + 1) / self._cold_rate)
+            wait = max(wait, (ahead + 1) / self._cold_rate, self._cap.find_hold(now))
         if now + wait > entrant.wait_until:
             raise RequestError(ErrorKind.SERVER_BUSY)
 
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -266,6 +266,39 @@
     assert runs and time.monotonic() - started < 10.0
 
 
+def ask_often(entry, prefix, count):
+    """Ask for as many lamps at once; returns when all are answered."""
+    threads = [
+        threading.Thread(target=ask, args=(entry, "/lamp/1", f"{prefix}{number}"))
+        for number in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def test_a_node_that_starts_again_does_not_send_a_cold_server_twice_as_much(fleet):
+    """Soak seed 29: 40 arrivals in a second at a server that bears 20 (FAILBACK)."""
+    machine, entry = fleet.machines[1], fleet.machines[0]
+    machine.app.cold_seconds = 10.0
+    machine.report()
+    wait_for(lambda: machine.find("registration").find_cold_rate() is not None)
+    ask_often(entry, "before", 20)
+    assert machine.app.runs
+    machine.kill()
+    machine.start()
+    wait_for(machine.is_ready)
+    wait_for(lambda: machine.find("registration").is_serving)
+    for number in range(10):
+        ask_often(entry, f"after{number}-", 20)
+        time.sleep(0.1)
+    runs = [moment for _, moment in machine.app.runs]
+    for moment in runs:
+        assert sum(moment <= other < moment + 1.0 for other in runs) <= 20
+    assert len(runs) > 20
+
+
 def test_a_planned_stop_cuts_off_nothing(fleet):
     """Seen as requests passed on while the node exited (LOST)."""
     machine = fleet.machines[0]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
     8: "SIGHUP ended a node that still started",
     10: "a stop cut requests off before their own time was up",
     26: "a second SIGTERM cut off what the first had left in flight",
+    29: "a node that started again sent a cold server as much as its last process had",
 }
 
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -111,6 +111,25 @@
     assert cap.allows(1.0, now) is allowed
 
 
+@pytest.mark.parametrize(
+    ("cold_rate", "advance", "starts"),
+    [(COLD_RATE, 0.0, False), (COLD_RATE, 1.0, True), (None, 0.0, True)],
+)
+def test_a_cold_server_gets_nothing_while_it_is_held(clock, cold_rate, advance, starts):
+    room = WaitingRoom(clock, SLOTS)
+    room.configure(SLOTS, cold_rate)
+    room.hold_cold(clock.read_monotonic() + 1.0)
+    clock.advance(advance)
+    if starts:
+        room.acquire(make_entrant(clock))
+        assert room.in_flight == 1
+        return
+    with pytest.raises(RequestError) as caught:
+        # Half of its objective ends before anything may start.
+        room.acquire(make_entrant(clock, objective=1.0))
+    assert caught.value.kind is ErrorKind.SERVER_BUSY
+
+
 def test_a_caller_that_leaves_gives_up_its_place():
     room = WaitingRoom(SystemClock(), 1)
     room.acquire(make_entrant(SystemClock()))
