--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -195,7 +195,7 @@
         """Let nothing start while the backend server is cold, for a while.
 
         Args:
-            until: Monotonic time of its end in seconds.
+            until: Monotonic time of its end in seconds; a past one ends it at once.
         """
         with self._lock:
             self._cap.hold(until)
