Move Address out of the settings, so that a hosted node starts without YAML

A tenth of the package's import time (19 of 183 ms with the import timer on) was the YAML parser, which only Address pulled in. Change: godwitrack.address; the hosted node's imports no longer load yaml (checked by listing the loaded modules).

--- a/packages/godwitrack/src/godwitrack/settings.py
+++ b/packages/godwitrack/src/godwitrack/settings.py
@@ -4,6 +4,7 @@
 
 import yaml
 
+from godwitrack.address import Address
 from godwitrack.exceptions import SettingsError
 
 REQUIRED = object()
@@ -31,44 +32,6 @@
         self.text = text
 
 
-class Address:
-    """An IP number and a port.
-
-    Attributes:
-        host: IP number.
-        port: TCP port; 0 lets the machine choose where a socket is bound.
-    """
-
-    __slots__ = ("host", "port")
-
-    def __init__(self, host, port):
-        self.host = host
-        self.port = port
-
-    @classmethod
-    def parse(cls, value):
-        """Return the Address written as "host:port".
-
-        Raises:
-            ValueError: The text is not an IP number and a port.
-        """
-        match = re.fullmatch(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})", str(value))
-        if not match or int(match[2]) > 65535:
-            raise ValueError('expected an IP number and a port, like "127.0.0.1:8080"')
-        if any(int(part) > 255 for part in match[1].split(".")):
-            raise ValueError('expected an IP number and a port, like "127.0.0.1:8080"')
-        return cls(match[1], int(match[2]))
-
-    def __str__(self):
-        return f"{self.host}:{self.port}"
-
-    def __eq__(self, other):
-        return isinstance(other, Address) and str(self) == str(other)
-
-    def __hash__(self):
-        return hash((self.host, self.port))
-
-
 def _text(value):
     if not isinstance(value, str) or not value:
         raise ValueError("expected a text that is not empty")
--- a/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
@@ -10,9 +10,9 @@
 
 from absl import flags
 
+from godwitrack.address import Address
 from godwitrack.exceptions import CallerGone, RequestError, StoreError
 from godwitrack.link import tune_socket
-from godwitrack.settings import Address
 from godwitrack.store import HttpClient
 from godwitrack_node.httpserver import ConnectionServer, HttpConnection
 
--- a/soak/soakmachine.py
+++ b/soak/soakmachine.py
@@ -9,7 +9,7 @@
 import time
 
 from callerstand import ask_ready
-from godwitrack.settings import Address
+from godwitrack.address import Address
 from platformstand import SETTINGS, send_report
 from soakplan import PathName
 from soakproxy import FaultProxy
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -6,8 +6,9 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+from godwitrack.address import Address
 from godwitrack.plans import read_lists
-from godwitrack.settings import Address, Settings
+from godwitrack.settings import Settings
 from godwitrack.store import HttpClient
 from godwitrack_lab.backendserver import BackendServer, Behaviour
 from godwitrack_lab.deployment import Deployment, find_ports, make_settings
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -8,8 +8,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from callerstand import ask_ready, send, wait_for
+from godwitrack.address import Address
 from godwitrack.exceptions import CallerGone, RequestError
-from godwitrack.settings import Address
 from godwitrack.watch import Watch
 from godwitrack_lab.deployment import find_ports
 from godwitrack_node.hostednode import HostedNode, HostedSettings
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from godwitrack.address import Address
 from godwitrack.exceptions import ErrorKind, RequestError
-from godwitrack.settings import Address
 from godwitrack_lab.deployment import find_ports
 from godwitrack_node.backend import BackendClient, TimedRequest
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,7 +11,7 @@
 import pytest
 
 from callerstand import ask_ready, make_request_headers, send, wait_for
-from godwitrack.settings import Address
+from godwitrack.address import Address
 from godwitrack_ctl.cmdline import main
 from godwitrack_lab.deployment import find_ports
 from operatorsrows import make_config, make_route, make_service
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from godwitrack.address import Address
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
-from godwitrack.settings import Address
 from godwitrack.watch import Watch
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 import pytest
 
 from callerstand import Answer
-from godwitrack.settings import Address
+from godwitrack.address import Address
 from godwitrack_node.httpserver import ConnectionServer
 from soakcallers import CALL_KINDS, SentCall
 from soakchecks import SoakRecord, count_most
