Keep a backend server at work while callers still notice its node's planned stop

Ruled out: a shorter notice; callers leave after two missed questions, a second apart. Change: the row goes after 1.2 s, the guard refuses after 1.6 s, the callers' port closes after 2.6 s as before. The second between guard and end keeps a cold server's rate: the next process counts from none. Test: fails before (503 from the first request on), passes now.

--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -27,6 +27,7 @@
 from godwitrack_node.routes import Routes
 from godwitrack_node.routing import Location
 from godwitrack_node.scheduler import Scheduler
+from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 
 # Threads of requests are short; one that computes must not hold up the others.
 SWITCH_INTERVAL_SECONDS = 0.002
@@ -40,6 +41,10 @@
 POLL_SECONDS = 0.02
 # Callers are sent elsewhere two missed questions, a second apart, after a stop begins.
 NOTICE_SECONDS = 2.6
+# The next process may give a cold backend server its full rate from its start on.
+GUARD_STAYS_SECONDS = NOTICE_SECONDS - COLD_WINDOW_SECONDS
+# Other nodes learn from the row before the guard has to refuse them.
+ROW_STAYS_SECONDS = GUARD_STAYS_SECONDS - 0.4
 EXPIRE_LINKS_SECONDS = 5.0
 RELOADED = frozenset(("retry_limits", "stop_seconds"))
 
@@ -192,15 +197,23 @@
         self._log.info("settings reloaded", changed=changed, after_restart=later)
 
     def stop(self):
-        """Finish the work in flight and stop; returns the requests cut off."""
+        """Finish the work in flight and stop; returns the requests cut off.
+
+        The backend server runs on, and callers take a while to notice. So it keeps its
+        work for most of that time: first its row goes, then its guard refuses, then
+        the callers' port closes.
+        """
         self._log.info("node stopping", node=self.identity.name)
-        self._readiness.begin_stop()
-        for name in ("registration", "guard", "callers"):
-            self.kernel.find(name).begin_stop()
         started = self._clock.read_monotonic()
-        self._hurry.wait(NOTICE_SECONDS)
-        self.kernel.find("callers").drain()
         deadline = started + self._settings.stop_seconds
+        self._readiness.begin_stop()
+        self.kernel.find("callers").begin_stop()
+        self._wait_hurry(started + ROW_STAYS_SECONDS)
+        self.kernel.find("registration").begin_stop()
+        self._wait_hurry(started + GUARD_STAYS_SECONDS)
+        self.kernel.find("guard").begin_stop()
+        self._wait_hurry(started + NOTICE_SECONDS)
+        self.kernel.find("callers").drain()
         while self._count_work() and not self._hurry.wait(POLL_SECONDS):
             if self._clock.read_monotonic() >= deadline:
                 break
@@ -209,6 +222,10 @@
         self.halt()
         return cut
 
+    def _wait_hurry(self, until):
+        """Wait until a monotonic time, or until a stop without delay is asked for."""
+        self._hurry.wait(max(until - self._clock.read_monotonic(), 0.0))
+
     def halt(self):
         """Stop all services at once."""
         self.kernel.stop()
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -8,7 +8,9 @@
 from callerstand import Caller, make_request_headers, send, wait_for
 from godwitrack.feed import FeedTable
 from godwitrack_node.feedsources import MAX_AGE_SECONDS
+from godwitrack_node.hostednode import GUARD_STAYS_SECONDS, NOTICE_SECONDS
 from godwitrack_node.httpserver import HttpRequest
+from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 from operatorsrows import make_config, make_route, make_service
 from platformstand import Fleet
 
@@ -330,6 +332,26 @@
     wait_for(machine.is_ready)
 
 
+def test_a_planned_stop_leaves_its_server_at_work_meanwhile(fleet):
+    """Seen as half of a service's room given away while nodes restarted in turn."""
+    machine, entry = fleet.machines[1], fleet.machines[0]
+    stopper = threading.Thread(target=machine.node.stop)
+    stopper.start()
+    statuses = []
+    while stopper.is_alive():
+        answer = ask(entry, "/lamp/1", f"r{len(statuses)}", "POST")
+        statuses.append(answer.status)
+        time.sleep(0.05)
+    stopper.join()
+    # It serves, then refuses; what is refused has not run, and nothing is cut off.
+    served = statuses.count(200)
+    assert served >= 2
+    assert statuses == [200] * served + [503] * (len(statuses) - served)
+    assert len(machine.app.runs) == served
+    # A process that follows counts its requests to a cold server from none on.
+    assert GUARD_STAYS_SECONDS + COLD_WINDOW_SECONDS <= NOTICE_SECONDS
+
+
 def test_what_was_sent_to_an_earlier_start_is_still_known(fleet):
     """Seen as a request given up while its server worked on it (LOST)."""
     guard = fleet.machines[1].find("guard")
