--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -21,6 +21,10 @@
 HEALTH_TIMEOUT_SECONDS = 0.5
 SUSPECT_PROBE_SECONDS = 0.25
 TICK_SECONDS = 0.05
+# Callers wait for the first check after a start, and for one of a suspect server.
+HASTY_TICK_SECONDS = 0.01
+# Stands for a time so long ago that the next check is due at once.
+ASKED_FOR_PROBE = 0.0
 MISSED_REPORTS = 3
 # A report is to be acknowledged within a second, whether its row was written or not.
 ACK_WAIT_SECONDS = 0.6
@@ -86,7 +90,7 @@
         self._left = {}
         self._cold_until = 0.0
         self._heard_at = None
-        self._probed_at = 0.0
+        self._probed_at = ASKED_FOR_PROBE
         self._is_stopping = False
         self._rng = random.Random()
         self._is_hold_decided = False
@@ -175,7 +179,7 @@
         if limits is not None:
             self._set_cold(limits.warmup_seconds)
             self._guard.configure(self._slots, self.find_cold_rate())
-        self._probed_at = 0.0
+        self._probed_at = ASKED_FOR_PROBE
         self._log.info("backend server suspected", reason=reason)
 
     def block(self, reason):
@@ -259,12 +263,16 @@
         )
 
     def _watch(self):
-        while not self._stopped.wait(TICK_SECONDS):
+        while not self._stopped.wait(self._find_tick()):
             try:
                 self._check_health()
             except Exception:
                 self._log.exception("health check failed")
 
+    def _find_tick(self):
+        is_hasty = self._probed_at == ASKED_FOR_PROBE
+        return HASTY_TICK_SECONDS if is_hasty else TICK_SECONDS
+
     def _check_health(self):
         now = self._clock.read_monotonic()
         interval = SUSPECT_PROBE_SECONDS if self.is_suspect else HEALTH_SECONDS
