Tell entries how much of a cold server's rate is used

Cause: the load report counted running requests only. Ruled out: old reports; each answer and refusal carries a new one. Change: a cold server's report counts as many places as taken as its rate leaves none for. Test: fails before (no such count), passes now.

--- a/packages/godwitrack/src/godwitrack/load.py
+++ b/packages/godwitrack/src/godwitrack/load.py
@@ -7,7 +7,8 @@
     """Load of a backend server as its own node counts it.
 
     Attributes:
-        in_flight: Requests running.
+        in_flight: Requests running; more where the server is cold and bears no more
+            requests a second.
         queued: Requests waiting.
         limit: Most requests that may run at once now.
         revision: Revision of the configuration in force at the node.
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -74,7 +74,7 @@
         """Return the Load of the backend server."""
         room = self.room
         return Load(
-            room.in_flight,
+            room.count_taken(),
             room.queued,
             room.limit,
             self._routes.revision,
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -121,14 +121,23 @@
     def allows(self, rate, now):
         """Tell whether one more request may start.
 
+        Args:
+            rate: Requests a second.
+            now: Monotonic time in seconds.
+        """
+        return self.find_use(rate, now) < 1.0
+
+    def find_use(self, rate, now):
+        """Return the share of what may start in a window that has started.
+
         Args:
             rate: Requests a second.
             now: Monotonic time in seconds.
         """
         if now < self._held_until:
-            return False
+            return 1.0
         recent = sum(not _is_past(item, now) for item in self._started)
-        return recent < max(int(rate * COLD_WINDOW_SECONDS), 1)
+        return recent / max(int(rate * COLD_WINDOW_SECONDS), 1)
 
     def note(self, entrant):
         """Count an Entrant that starts; warm ones count too, as it may cool down."""
@@ -182,6 +191,19 @@
             share = min(share, REDUCED_SHARE)
         return max(int(self._slots * share), 1)
 
+    def count_taken(self):
+        """Return the places that new requests do not find.
+
+        A cold server may have idle slots and yet bear no further request now. Entries
+        place by this figure, in relation to `limit`.
+        """
+        with self._lock:
+            if self._cold_rate is None:
+                return self._running
+            now = self._clock.read_monotonic()
+            use = self._cap.find_use(self._cold_rate, now)
+            return max(self._running, round(use * self.limit))
+
     def configure(self, slots, cold_rate):
         """Set what the backend server bears.
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -106,6 +106,37 @@
     assert room.limit == 10
 
 
+@pytest.mark.parametrize(
+    ("cold_rate", "ended", "running", "seconds", "taken"),
+    [
+        (None, 5, 0, 0.1, 0),
+        (10.0, 0, 3, 0.1, 3),
+        (10.0, 5, 0, 0.1, 4),
+        (10.0, 5, 3, 0.1, 6),
+        (10.0, 10, 0, 0.1, 8),
+        (10.0, 10, 0, 1.1, 0),
+    ],
+)
+def test_a_cold_server_tells_how_much_of_its_rate_is_used(
+    clock, cold_rate, ended, running, seconds, taken
+):
+    """Seen as entries that chose servers with idle slots whose rate was used up.
+
+    Most tries were refused after all servers had come back cold. Eight of ten slots
+    are the limit of a cold server here, and ten requests its rate.
+    """
+    room = WaitingRoom(clock, 10)
+    room.configure(10, cold_rate)
+    for _ in range(ended):
+        entrant = make_entrant(clock)
+        room.acquire(entrant)
+        room.release(entrant, True)
+    for _ in range(running):
+        room.acquire(make_entrant(clock))
+    clock.advance(seconds)
+    assert room.count_taken() == taken
+
+
 @pytest.mark.parametrize(
     ("ended_at", "now", "allowed"),
     [
