Count a cold server's requests from when they were sent, not answered

Ruled out: counting from the start; a thread that is held up sends later (22 arrivals in a second at a server that bears 20, seen before). Change: the exchange tells when the last byte was sent, and the request counts for a second after that and a short way; without that moment as before.

--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -149,7 +149,7 @@
         try:
             # It may have begun to leave while the request waited.
             self._check(call)
-            answer = self._send(call, source, deadline)
+            answer = self._send(call, source, deadline, entrant)
             slowness = self._take_speed(answer)
             self._check_answer(answer)
             is_answered = True
@@ -180,7 +180,7 @@
                 ErrorKind.BACKEND_UNREACHABLE, "waits for a health check"
             )
 
-    def _send(self, call, source, deadline):
+    def _send(self, call, source, deadline, entrant):
         """Return the backend server's HttpAnswer."""
         instance = self._registration.instance
         left = deadline - self._clock.read_monotonic()
@@ -195,6 +195,7 @@
             call.length,
             source.read if call.more else None,
             call.idempotent,
+            lambda: self.room.note_sent(entrant),
         )
         try:
             return self._client.send(
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -27,6 +27,8 @@
 COLD_WINDOW_SECONDS = 1.0
 # A request without an answer is taken to have arrived by then.
 MAX_ARRIVAL_SECONDS = 0.5
+# From its last byte's sending to its arrival on the same VM.
+DELIVERY_SECONDS = 0.02
 
 
 class Entrant:
@@ -39,6 +41,7 @@
         deadline: Monotonic time after which nobody waits for it, in seconds.
         arrived_at: Monotonic time of its arrival.
         started_at: Monotonic time at which it was let through, or None.
+        sent_at: Monotonic time at which its last byte was sent, or None.
         ended_at: Monotonic time at which its run ended, or None.
         running: Requests that ran beside it when it was let through.
         refusal: ErrorKind if it was refused, or None.
@@ -54,6 +57,7 @@
         "priority",
         "refusal",
         "running",
+        "sent_at",
         "started_at",
     )
 
@@ -64,6 +68,7 @@
         self.is_nested = is_nested
         self.arrived_at = 0.0
         self.started_at = None
+        self.sent_at = None
         self.ended_at = None
         self.running = 0
         self.refusal = None
@@ -73,6 +78,8 @@
     def arrived_by(self):
         """Monotonic time by which it has reached the backend server, in seconds."""
         latest = self.started_at + MAX_ARRIVAL_SECONDS
+        if self.sent_at is not None:
+            latest = min(latest, self.sent_at + DELIVERY_SECONDS)
         return latest if self.ended_at is None else min(self.ended_at, latest)
 
     @property
@@ -102,7 +109,8 @@
 class ColdCap:
     """Limits the requests that reach a cold backend server in any second.
 
-    When one arrives is known only within bounds: after its start, and before its end.
+    When one arrives is known only within bounds: after its start, and just after its
+    last byte is sent or before its end.
     What an earlier process of this node sent is not known at all.
     """
 
@@ -261,6 +269,10 @@
         if entrant.refusal is not None:
             raise RequestError(entrant.refusal)
 
+    def note_sent(self, entrant):
+        """Note that the last byte of a request was sent to the backend server."""
+        entrant.sent_at = self._clock.read_monotonic()
+
     def release(self, entrant, is_answered):
         """Give the place of a request back and let waiting ones through.
 
