Move the cold cap and what waits out of the waiting room's module

The same tests pass before and after. Ruled out: moving the order of waiting requests, too; it is a property of the entrant.

--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/coldcap.py
@@ -0,0 +1,62 @@
+"""How many requests reach a cold backend server in any second.
+
+Load pattern: servers that start cold, or turn cold, while more is asked than they bear.
+Platforms state that as requests in any one second, and count arrivals.
+"""
+
+import collections
+
+COLD_WINDOW_SECONDS = 1.0
+
+
+class ColdCap:
+    """Limits the requests that reach a cold backend server in any second.
+
+    When one arrives is known only within bounds: after its start, and just after its
+    last byte is sent or before its end.
+    What an earlier process of this node sent is not known at all.
+    """
+
+    def __init__(self):
+        self._started = collections.deque()
+        self._held_until = 0.0
+
+    def hold(self, until):
+        """Let nothing start before a monotonic time in seconds."""
+        self._held_until = until
+
+    def find_hold(self, now):
+        """Return the seconds for which nothing may start."""
+        return max(self._held_until - now, 0.0)
+
+    def allows(self, rate, now):
+        """Tell whether one more request may start.
+
+        Args:
+            rate: Requests a second.
+            now: Monotonic time in seconds.
+        """
+        return self.find_use(rate, now) < 1.0
+
+    def find_use(self, rate, now):
+        """Return the share of what may start in a window that has started.
+
+        Args:
+            rate: Requests a second.
+            now: Monotonic time in seconds.
+        """
+        if now < self._held_until:
+            return 1.0
+        recent = sum(not _is_past(item, now) for item in self._started)
+        return recent / max(int(rate * COLD_WINDOW_SECONDS), 1)
+
+    def note(self, entrant):
+        """Count an Entrant that starts; warm ones count too, as it may cool down."""
+        self._started.append(entrant)
+        while _is_past(self._started[0], entrant.started_at):
+            self._started.popleft()
+
+
+def _is_past(entrant, now):
+    """Tell whether a request that starts now arrives a window later or more."""
+    return entrant.arrived_by + COLD_WINDOW_SECONDS <= now
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/entrant.py
@@ -0,0 +1,87 @@
+"""A request that asks to run at the backend server, and for how long it may wait."""
+
+import threading
+
+# Share of a request's objective that it may wait; the rest is for the run and the way.
+WAIT_SHARE = 0.5
+# Head start of each rank over the next lower one, as a share of the objective.
+PRIORITY_STEP_SHARE = 0.1
+# A request without an answer is taken to have arrived by then.
+MAX_ARRIVAL_SECONDS = 0.5
+# From its last byte's sending to its arrival on the same VM.
+DELIVERY_SECONDS = 0.02
+
+
+class Entrant:
+    """A request that asks to run.
+
+    Attributes:
+        priority: Rank, 0 for the most urgent.
+        is_nested: Whether a request that already runs waits for it.
+        objective: Time within which its answer is worth most, in seconds.
+        deadline: Monotonic time after which nobody waits for it, in seconds.
+        arrived_at: Monotonic time of its arrival.
+        started_at: Monotonic time at which it was let through, or None.
+        sent_at: Monotonic time at which its last byte was sent, or None.
+        ended_at: Monotonic time at which its run ended, or None.
+        running: Requests that ran beside it when it was let through.
+        refusal: ErrorKind if it was refused, or None.
+    """
+
+    __slots__ = (
+        "_decided",
+        "arrived_at",
+        "deadline",
+        "ended_at",
+        "is_nested",
+        "objective",
+        "priority",
+        "refusal",
+        "running",
+        "sent_at",
+        "started_at",
+    )
+
+    def __init__(self, priority, objective, deadline, is_nested=False):
+        self.priority = priority
+        self.objective = objective
+        self.deadline = deadline
+        self.is_nested = is_nested
+        self.arrived_at = 0.0
+        self.started_at = None
+        self.sent_at = None
+        self.ended_at = None
+        self.running = 0
+        self.refusal = None
+        self._decided = threading.Event()
+
+    @property
+    def arrived_by(self):
+        """Monotonic time by which it has reached the backend server, in seconds."""
+        latest = self.started_at + MAX_ARRIVAL_SECONDS
+        if self.sent_at is not None:
+            latest = min(latest, self.sent_at + DELIVERY_SECONDS)
+        return latest if self.ended_at is None else min(self.ended_at, latest)
+
+    @property
+    def order(self):
+        """Sort key by which waiting requests start, lowest first."""
+        step = self.priority * PRIORITY_STEP_SHARE * self.objective
+        return (not self.is_nested, self.arrived_at + step)
+
+    @property
+    def wait_until(self):
+        """Monotonic time at which it has waited for long enough."""
+        allowed = WAIT_SHARE * self.objective
+        if self.is_nested:
+            # Turning it away wastes the run that waits for it.
+            allowed = max(allowed, WAIT_SHARE * (self.deadline - self.arrived_at))
+        return min(self.arrived_at + allowed, self.deadline)
+
+    def decide(self):
+        """Wake the thread that waits."""
+        self._decided.set()
+
+    def wait(self, timeout):
+        """Wait for the decision; returns whether there is one."""
+        return self._decided.wait(timeout)
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -4,12 +4,13 @@
 from godwitrack.load import Load
 from godwitrack.logs import find_logger
 from godwitrack_node.answer import HttpAnswer
+from godwitrack_node.entrant import Entrant
 from godwitrack_node.httpserver import HOP_HEADERS
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 from godwitrack_node.ledger import OutcomeState
 from godwitrack_node.serverguard import ServerGuard
 from godwitrack_node.speed import MEASURE_SECONDS
-from godwitrack_node.waiting import Entrant, WaitingRoom
+from godwitrack_node.waiting import WaitingRoom
 
 # A backend server accepts 260 connections from all that connect to it.
 CONNECTIONS = 200
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -10,6 +10,7 @@
 from godwitrack.logs import find_logger
 from godwitrack_node.budget import ControlBudget
 from godwitrack_node.callers import Callers
+from godwitrack_node.coldcap import COLD_WINDOW_SECONDS
 from godwitrack_node.dispatcher import Dispatcher
 from godwitrack_node.gate import Gate
 from godwitrack_node.hostports import HttpPort, ReadinessHandler
@@ -27,7 +28,6 @@
 from godwitrack_node.routes import Routes
 from godwitrack_node.routing import Location
 from godwitrack_node.scheduler import Scheduler
-from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 
 # Threads of requests are short; one that computes must not hold up the others.
 SWITCH_INTERVAL_SECONDS = 0.002
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -7,6 +7,7 @@
 from godwitrack.feed import FeedTable, RowConflict
 from godwitrack.kernel import Service
 from godwitrack.logs import find_logger
+from godwitrack_node.coldcap import COLD_WINDOW_SECONDS
 from godwitrack_node.placing import Member
 from godwitrack_node.retrypause import (
     FIRST_PAUSE_SECONDS,
@@ -14,7 +15,6 @@
     RetryPause,
 )
 from godwitrack_node.roster import read_member, write_member
-from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 
 # Health checks are billed, and reports and answers tell most changes sooner.
 HEALTH_SECONDS = 1.0
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -5,17 +5,13 @@
 is refused when it arrives, so that its entry can try another server in time.
 """
 
-import collections
 import threading
 
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
+from godwitrack_node.coldcap import ColdCap
 from godwitrack_node.limits import REDUCED_SHARE, LimitFinder
 from godwitrack_node.speed import SpeedGauge
 
-# Share of a request's objective that it may wait; the rest is for the run and the way.
-WAIT_SHARE = 0.5
-# Head start of each rank over the next lower one, as a share of the objective.
-PRIORITY_STEP_SHARE = 0.1
 # Weight of the newest run in the moving average of their durations.
 SERVICE_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.05
@@ -23,135 +19,6 @@
 CHECK_SECONDS = 0.025
 # A request must have this share of the usual service time left to be worth a try.
 MIN_SERVICE_SHARE = 0.5
-# Platforms state what a cold server bears as requests in any one second.
-COLD_WINDOW_SECONDS = 1.0
-# A request without an answer is taken to have arrived by then.
-MAX_ARRIVAL_SECONDS = 0.5
-# From its last byte's sending to its arrival on the same VM.
-DELIVERY_SECONDS = 0.02
-
-
-class Entrant:
-    """A request that asks to run.
-
-    Attributes:
-        priority: Rank, 0 for the most urgent.
-        is_nested: Whether a request that already runs waits for it.
-        objective: Time within which its answer is worth most, in seconds.
-        deadline: Monotonic time after which nobody waits for it, in seconds.
-        arrived_at: Monotonic time of its arrival.
-        started_at: Monotonic time at which it was let through, or None.
-        sent_at: Monotonic time at which its last byte was sent, or None.
-        ended_at: Monotonic time at which its run ended, or None.
-        running: Requests that ran beside it when it was let through.
-        refusal: ErrorKind if it was refused, or None.
-    """
-
-    __slots__ = (
-        "_decided",
-        "arrived_at",
-        "deadline",
-        "ended_at",
-        "is_nested",
-        "objective",
-        "priority",
-        "refusal",
-        "running",
-        "sent_at",
-        "started_at",
-    )
-
-    def __init__(self, priority, objective, deadline, is_nested=False):
-        self.priority = priority
-        self.objective = objective
-        self.deadline = deadline
-        self.is_nested = is_nested
-        self.arrived_at = 0.0
-        self.started_at = None
-        self.sent_at = None
-        self.ended_at = None
-        self.running = 0
-        self.refusal = None
-        self._decided = threading.Event()
-
-    @property
-    def arrived_by(self):
-        """Monotonic time by which it has reached the backend server, in seconds."""
-        latest = self.started_at + MAX_ARRIVAL_SECONDS
-        if self.sent_at is not None:
-            latest = min(latest, self.sent_at + DELIVERY_SECONDS)
-        return latest if self.ended_at is None else min(self.ended_at, latest)
-
-    @property
-    def order(self):
-        """Sort key by which waiting requests start, lowest first."""
-        step = self.priority * PRIORITY_STEP_SHARE * self.objective
-        return (not self.is_nested, self.arrived_at + step)
-
-    @property
-    def wait_until(self):
-        """Monotonic time at which it has waited for long enough."""
-        allowed = WAIT_SHARE * self.objective
-        if self.is_nested:
-            # Turning it away wastes the run that waits for it.
-            allowed = max(allowed, WAIT_SHARE * (self.deadline - self.arrived_at))
-        return min(self.arrived_at + allowed, self.deadline)
-
-    def decide(self):
-        """Wake the thread that waits."""
-        self._decided.set()
-
-    def wait(self, timeout):
-        """Wait for the decision; returns whether there is one."""
-        return self._decided.wait(timeout)
-
-
-class ColdCap:
-    """Limits the requests that reach a cold backend server in any second.
-
-    When one arrives is known only within bounds: after its start, and just after its
-    last byte is sent or before its end.
-    What an earlier process of this node sent is not known at all.
-    """
-
-    def __init__(self):
-        self._started = collections.deque()
-        self._held_until = 0.0
-
-    def hold(self, until):
-        """Let nothing start before a monotonic time in seconds."""
-        self._held_until = until
-
-    def find_hold(self, now):
-        """Return the seconds for which nothing may start."""
-        return max(self._held_until - now, 0.0)
-
-    def allows(self, rate, now):
-        """Tell whether one more request may start.
-
-        Args:
-            rate: Requests a second.
-            now: Monotonic time in seconds.
-        """
-        return self.find_use(rate, now) < 1.0
-
-    def find_use(self, rate, now):
-        """Return the share of what may start in a window that has started.
-
-        Args:
-            rate: Requests a second.
-            now: Monotonic time in seconds.
-        """
-        if now < self._held_until:
-            return 1.0
-        recent = sum(not _is_past(item, now) for item in self._started)
-        return recent / max(int(rate * COLD_WINDOW_SECONDS), 1)
-
-    def note(self, entrant):
-        """Count an Entrant that starts; warm ones count too, as it may cool down."""
-        self._started.append(entrant)
-        while _is_past(self._started[0], entrant.started_at):
-            self._started.popleft()
 
 
 class WaitingRoom:
@@ -399,11 +266,6 @@
             return True
 
 
-def _is_past(entrant, now):
-    """Tell whether a request that starts now arrives a window later or more."""
-    return entrant.arrived_by + COLD_WINDOW_SECONDS <= now
-
-
 def _read_order(entrant):
     return entrant.order
 
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -7,10 +7,10 @@
 
 from callerstand import Caller, make_request_headers, send, wait_for
 from godwitrack.feed import FeedTable
+from godwitrack_node.coldcap import COLD_WINDOW_SECONDS
 from godwitrack_node.feedsources import MAX_AGE_SECONDS
 from godwitrack_node.hostednode import GUARD_STAYS_SECONDS, NOTICE_SECONDS
 from godwitrack_node.httpserver import HttpRequest
-from godwitrack_node.waiting import COLD_WINDOW_SECONDS
 from operatorsrows import make_config, make_route, make_service
 from platformstand import Fleet
 
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitrack_node.entrant import Entrant
 from godwitrack_node.speed import (
     FRESH_SECONDS,
     HOLD_SHARE,
@@ -12,7 +13,7 @@
     MEASURE_SECONDS,
     SpeedGauge,
 )
-from godwitrack_node.waiting import CHECK_SECONDS, Entrant, WaitingRoom
+from godwitrack_node.waiting import CHECK_SECONDS, WaitingRoom
 
 SEED = 7
 OBJECTIVE_SECONDS = 1.2
