--- a/packages/godwitrack_node/src/godwitrack_node/coldcap.py
+++ b/packages/godwitrack_node/src/godwitrack_node/coldcap.py
@@ -12,8 +12,7 @@
 class ColdCap:
     """Limits the requests that reach a cold backend server in any second.
 
-    When one arrives is known only within bounds: after its start, and just after its
-    last byte is sent or before its end.
+    When one arrives is known only within bounds: after its start, and before its end.
     What an earlier process of this node sent is not known at all.
     """
 
--- a/packages/godwitrack_node/src/godwitrack_node/entrant.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entrant.py
@@ -8,8 +8,6 @@
 PRIORITY_STEP_SHARE = 0.1
 # A request without an answer is taken to have arrived by then.
 MAX_ARRIVAL_SECONDS = 0.5
-# From its last byte's sending to its arrival on the same VM.
-DELIVERY_SECONDS = 0.02
 
 
 class Entrant:
@@ -22,7 +20,6 @@
         deadline: Monotonic time after which nobody waits for it, in seconds.
         arrived_at: Monotonic time of its arrival.
         started_at: Monotonic time at which it was let through, or None.
-        sent_at: Monotonic time at which its last byte was sent, or None.
         ended_at: Monotonic time at which its run ended, or None.
         running: Requests that ran beside it when it was let through.
         refusal: ErrorKind if it was refused, or None.
@@ -38,7 +35,6 @@
         "priority",
         "refusal",
         "running",
-        "sent_at",
         "started_at",
     )
 
@@ -49,7 +45,6 @@
         self.is_nested = is_nested
         self.arrived_at = 0.0
         self.started_at = None
-        self.sent_at = None
         self.ended_at = None
         self.running = 0
         self.refusal = None
@@ -59,8 +54,6 @@
     def arrived_by(self):
         """Monotonic time by which it has reached the backend server, in seconds."""
         latest = self.started_at + MAX_ARRIVAL_SECONDS
-        if self.sent_at is not None:
-            latest = min(latest, self.sent_at + DELIVERY_SECONDS)
         return latest if self.ended_at is None else min(self.ended_at, latest)
 
     @property
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -150,7 +150,7 @@
         try:
             # It may have begun to leave while the request waited.
             self._check(call)
-            answer = self._send(call, source, deadline, entrant)
+            answer = self._send(call, source, deadline)
             slowness = self._take_speed(answer)
             self._check_answer(answer)
             is_answered = True
@@ -181,7 +181,7 @@
                 ErrorKind.BACKEND_UNREACHABLE, "waits for a health check"
             )
 
-    def _send(self, call, source, deadline, entrant):
+    def _send(self, call, source, deadline):
         """Return the backend server's HttpAnswer."""
         instance = self._registration.instance
         left = deadline - self._clock.read_monotonic()
@@ -196,7 +196,6 @@
             call.length,
             source.read if call.more else None,
             call.idempotent,
-            lambda: self.room.note_sent(entrant),
         )
         try:
             return self._client.send(
--- a/packages/godwitrack_node/src/godwitrack_node/instance.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instance.py
@@ -21,25 +21,13 @@
 
     Attributes:
         idempotent: Whether it may run more than once.
-        on_sent: Function that is called once its last byte is sent, or None.
     """
 
-    __slots__ = ("idempotent", "on_sent")
-
-    def __init__(
-        self,
-        method,
-        path,
-        headers,
-        body,
-        length,
-        read_more,
-        idempotent,
-        on_sent=None,
-    ):
+    __slots__ = ("idempotent",)
+
+    def __init__(self, method, path, headers, body, length, read_more, idempotent):
         super().__init__(method, path, headers, body, length, read_more)
         self.idempotent = idempotent
-        self.on_sent = on_sent
 
     def encode_head(self):
         """Return the head as bytes."""
--- a/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
@@ -92,8 +92,6 @@
                 break
             data = self._frame(part)
         self._is_sent = True
-        if request.on_sent is not None:
-            request.on_sent()
 
     def _frame(self, part):
         if self._request.read_more is None or self._request.length >= 0 or not part:
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -136,10 +136,6 @@
         if entrant.refusal is not None:
             raise RequestError(entrant.refusal)
 
-    def note_sent(self, entrant):
-        """Note that the last byte of a request was sent to the backend server."""
-        entrant.sent_at = self._clock.read_monotonic()
-
     def release(self, entrant, is_answered):
         """Give the place of a request back and let waiting ones through.
 
