--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -44,7 +44,8 @@
 # The next process may give a cold backend server its full rate from its start on.
 GUARD_STAYS_SECONDS = NOTICE_SECONDS - COLD_WINDOW_SECONDS
 # Other nodes learn from the row before the guard has to refuse them.
-ROW_STAYS_SECONDS = GUARD_STAYS_SECONDS - 0.4
+ROW_LEAD_SECONDS = 0.4
+ROW_STAYS_SECONDS = GUARD_STAYS_SECONDS - ROW_LEAD_SECONDS
 EXPIRE_LINKS_SECONDS = 5.0
 RELOADED = frozenset(("retry_limits", "stop_seconds"))
 
