Tell listeners of one table's changes one after the other

Cause, found by reading: a follower and a fetch by hint merge into the same replica. A follower that is held up between its merge and its listeners went on with the rows that it had listed before, and undid a take-out or a route that the fetch had brought meanwhile, until the next change of the table. Ruled out: the replica itself; its versions never go back. Change: one lock a table around the merge and its listeners. Test: a reader that is held up while another page is merged; the take-out was lost before (fails), is kept now.

--- a/packages/godwitrack_node/src/godwitrack_node/news.py
+++ b/packages/godwitrack_node/src/godwitrack_node/news.py
@@ -52,6 +52,7 @@
         self._listeners = {table: [] for table in FeedTable}
         self._callers = set()
         self._answers = AnswerMaker()
+        self._merging = {table: threading.Lock() for table in FeedTable}
         self._pulling = threading.Lock()
         self._stopped = threading.Event()
         self._pool = None
@@ -172,10 +173,12 @@
         return self._merge(table, page)
 
     def _merge(self, table, page):
-        if not self._replicas[table].merge(page):
-            return False
-        for listener in self._listeners[table]:
-            listener()
+        # A fetch by hint may merge as well; whoever has older rows must not tell last.
+        with self._merging[table]:
+            if not self._replicas[table].merge(page):
+                return False
+            for listener in self._listeners[table]:
+                listener()
         return True
 
     def _pull(self, address):
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -1,10 +1,17 @@
-"""Tests of godwitrack_node.news: hints of later routes from many answers at once."""
+"""Tests of godwitrack_node.news: hints of later routes, and changes that cross."""
+
+import threading
 
 from godwitrack.exceptions import LinkError
+from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack_node.news import News
+from godwitrack_node.routes import OperatorsRow, Routes
 from godwitrack_node.routing import Location
 
 REVISION = 5
+# Far more than a merge takes that nothing holds up.
+CROSSING_SECONDS = 0.3
+WAIT_SECONDS = 10.0
 
 
 class HeldExecutor:
@@ -48,3 +55,67 @@
     executor.run()
     news.hint("127.0.0.1:2", REVISION)
     assert len(executor.jobs) == 1
+
+
+class SlowReader(OperatorsRow):
+    """Takes every row for a take-out; the first row of all takes long to read."""
+
+    def __init__(self):
+        self.is_reading = threading.Event()
+        self.go_on = threading.Event()
+
+    def read_routes(self, row):
+        return None
+
+    def read_take_out(self, row):
+        if not self.is_reading.is_set():
+            self.is_reading.set()
+            self.go_on.wait(WAIT_SECONDS)
+        return row.key
+
+
+class NewsKernel(StandKernel):
+    """Finds the news as well."""
+
+    def __init__(self, news):
+        self._news = news
+
+    def find(self, name):
+        return self._news if name == "membership" else super().find(name)
+
+
+class PageStore:
+    """A store that gives one page after the other."""
+
+    def __init__(self, *pages):
+        self._pages = list(pages)
+
+    def read_all(self, table):
+        return self._pages.pop(0)
+
+    def read_changes(self, table, after, wait):
+        return self._pages.pop(0)
+
+
+def test_older_rows_that_are_read_slowly_change_nothing_later(clock):
+    """A follower that is held up must not undo a take-out that a fetch brought."""
+    first = FeedPage([FeedRow("dc-a", 1, b"")], 1, True)
+    second = FeedPage([FeedRow("dc-b", 2, b"")], 2, False)
+    store = PageStore(first, second)
+    news = News(clock, HeldExecutor(), store, "127.0.0.1:1", Location("south", "dc-c"))
+    reader = SlowReader()
+    routes = Routes(reader)
+    news.connect(StandKernel())
+    routes.connect(NewsKernel(news))
+    threads = [
+        threading.Thread(target=news._read, args=(FeedTable.OPERATORS, ""))
+        for _ in range(2)
+    ]
+    threads[0].start()
+    assert reader.is_reading.wait(WAIT_SECONDS)
+    threads[1].start()
+    threads[1].join(CROSSING_SECONDS)
+    reader.go_on.set()
+    for thread in threads:
+        thread.join()
+    assert routes.taken_out == {"dc-a", "dc-b"}
