Let a request wait only as long as leaves time for its run

Change: a request that can still be in time waits for the objective less what is over and less a usual run, at least a fifth and at most half of the objective as before. Late ones are as before. Tests: a burst at a server whose runs take two thirds of the objective, on a clock set by hand, beside the policy before it (fails before: the same).

--- a/packages/godwitrack_node/src/godwitrack_node/entrant.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entrant.py
@@ -4,6 +4,8 @@
 
 # Share of a request's objective that it may wait; the rest is for the run and the way.
 WAIT_SHARE = 0.5
+# Share that it may wait even if a usual run takes longer than what is left after it.
+MIN_WAIT_SHARE = 0.2
 # The run and the way there and back take the rest of the objective.
 LATE_SHARE = 0.6
 # Head start of each rank over the next lower one, as a share of the objective.
@@ -24,6 +26,7 @@
         arrived_at: Monotonic time of its arrival.
         started_at: Monotonic time at which it was let through, or None.
         ended_at: Monotonic time at which its run ended, or None.
+        run_seconds: Usual duration of a run at its arrival.
         running: Requests that ran beside it when it was let through.
         refusal: ErrorKind if it was refused, or None.
     """
@@ -37,6 +40,7 @@
         "objective",
         "priority",
         "refusal",
+        "run_seconds",
         "running",
         "started_at",
         "waited",
@@ -48,6 +52,7 @@
         self.deadline = deadline
         self.is_nested = is_nested
         self.waited = waited
+        self.run_seconds = 0.0
         self.arrived_at = 0.0
         self.started_at = None
         self.ended_at = None
@@ -76,6 +81,9 @@
     def wait_until(self):
         """Monotonic time at which it has waited for long enough."""
         allowed = WAIT_SHARE * self.objective
+        if not self.is_late:
+            spare = self.objective - self.waited - self.run_seconds
+            allowed = min(allowed, max(spare, MIN_WAIT_SHARE * self.objective))
         if self.is_nested:
             # Turning it away wastes the run that waits for it.
             allowed = max(allowed, WAIT_SHARE * (self.deadline - self.arrived_at))
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -148,6 +148,7 @@
         """
         now = self._clock.read_monotonic()
         entrant.arrived_at = now
+        entrant.run_seconds = self._service_seconds
         with self._lock:
             if not self._queue and self._may_start(entrant, now):
                 self._start(entrant, now)
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -52,23 +52,26 @@
     """
 
     SECONDS = 10.0
-    RUN_SECONDS = 0.1
     OBJECTIVE_SECONDS = 0.3
     DEADLINE_SECONDS = 5.0
     RETURNS = 2
     LOOK_SECONDS = 0.005
 
-    def __init__(self, clock, arrivals_per_second, refused=None, phases=None):
+    def __init__(
+        self, clock, arrivals_per_second, run_seconds=0.1, refused=None, phases=None
+    ):
         """Prepare without playing.
 
         Args:
             clock: Clock that is set by hand.
             arrivals_per_second: Callers that come for the first time.
+            run_seconds: Duration of a run in a usual moment.
             refused: RefusedCallers that know who comes back, or None.
             phases: Phases of the server, or None for one of even speed.
         """
         self._clock = clock
         self._arrivals_per_second = arrivals_per_second
+        self._run_seconds = run_seconds
         self._refused = refused
         self._phases = phases
         self._rng = random.Random(SEED)
@@ -110,7 +113,7 @@
         now = self._clock.read_monotonic()
         if entrant.started_at is not None:
             slowness = self._phases.read() if self._phases else USUAL
-            end = entrant.started_at + self.RUN_SECONDS * slowness / USUAL
+            end = entrant.started_at + self._run_seconds * slowness / USUAL
             self._add(end, self._end, entrant, born)
             return
         self._tell_speed()
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from godwitrack_node import speed
 from godwitrack_node.entrant import Entrant
 from godwitrack_node.speed import (
     FRESH_SECONDS,
@@ -146,7 +145,7 @@
     slots (trouble-1 of ljusnav, 23 to 27 s).
     """
     after = Burst(clock, BURST_PER_SECOND, phases=Phases(clock, BURST_SECONDS)).play()
-    monkeypatch.setattr(speed, "HOLD_SHARE", 0.35)
+    monkeypatch.setattr("godwitrack_node.speed.HOLD_SHARE", 0.35)
     before = Burst(clock, BURST_PER_SECOND, phases=Phases(clock, BURST_SECONDS)).play()
     assert after.in_time > 1.25 * before.in_time
     assert after.served > before.served
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -6,7 +6,7 @@
 
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
-from godwitrack_node.entrant import Entrant
+from godwitrack_node.entrant import WAIT_SHARE, Entrant
 from godwitrack_node.refusedcallers import RefusedCallers
 from godwitrack_node.waiting import WaitingRoom
 from loads import SLOTS, Burst
@@ -14,6 +14,7 @@
 # Half as much again as that many slots bear when a run takes a tenth of a second.
 BURST_PER_SECOND = 180
 COLD_RATE = 37.0
+COLD_RUN_SECONDS = 0.2
 
 
 def make_entrant(clock, objective=1.0, left=5.0, **values):
@@ -190,6 +191,20 @@
 def test_callers_that_come_back_late_do_not_make_new_ones_late(clock):
     """The load pattern, beside the policy before it, which knows no age."""
     before = Burst(clock, BURST_PER_SECOND).play()
-    after = Burst(clock, BURST_PER_SECOND, RefusedCallers(clock)).play()
+    after = Burst(clock, BURST_PER_SECOND, refused=RefusedCallers(clock)).play()
     assert after.in_time > 1.1 * before.in_time
     assert after.served >= 0.97 * before.served
+
+
+def test_a_wait_leaves_time_for_the_run(clock, monkeypatch):
+    """The load pattern, beside the policy before it: half of the objective to wait.
+
+    Seen where servers had come back cold and runs took two thirds of the objective
+    (trouble-1 of ljusnav, 34 to 36 s): all were answered, and most of them late.
+    """
+    refused = RefusedCallers(clock)
+    after = Burst(clock, BURST_PER_SECOND, COLD_RUN_SECONDS, refused).play()
+    monkeypatch.setattr("godwitrack_node.entrant.MIN_WAIT_SHARE", WAIT_SHARE)
+    before = Burst(clock, BURST_PER_SECOND, COLD_RUN_SECONDS, refused).play()
+    assert after.in_time > 1.25 * before.in_time
+    assert after.served >= 0.97 * before.served
