Let callers whose objective is over come back later

Cause: refused callers are told to come back within 0.1 to 0.4 s, also those whose objective is over. Ruled out: an earlier return; nothing is gained by it once the objective is over. Change: such a caller is spread over the whole of what it heeds, a third of its time left. Lines of ended requests tell for how long the caller had waited.

--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -5,6 +5,7 @@
 from godwitrack.messages import RoutedCall
 from godwitrack_node.attempt import LocalAttempt, RefusedByNode, RemoteAttempt
 from godwitrack_node.callhandler import CallHandler
+from godwitrack_node.entrant import LATE_SHARE
 from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
 from godwitrack_node.refusedcallers import CallerKey, RefusedCallers
 from godwitrack_node.repeats import RepeatRule, is_refusal
@@ -247,16 +248,17 @@
     def _conclude(self, errand, error):
         """Return the RequestError for the caller, with the time to come back."""
         if error.answer.not_run and error.answer.status >= 500:
-            left = errand.caller_deadline - self._clock.read_monotonic()
+            now = self._clock.read_monotonic()
+            left = errand.caller_deadline - now
+            spare = LATE_SHARE * errand.route.objective - errand.find_waited(now)
             return RequestError(
-                ErrorKind.NO_ROOM, error.detail, self._timer.choose(left)
+                ErrorKind.NO_ROOM, error.detail, self._timer.choose(left, spare)
             )
         return error
 
     def _make_call(self, errand, request, member, body, more):
         now = self._clock.read_monotonic()
         left = errand.deadline - now
-        waited = errand.waited + now - errand.received_at
         route = errand.route
         return RoutedCall(
             f"{errand.attempt_prefix}.{errand.attempts}",
@@ -274,7 +276,7 @@
             sorted(route.regions),
             route.priority,
             route.objective * 1000.0,
-            waited * 1000.0,
+            errand.find_waited(now) * 1000.0,
             max(left, 0.001) * 1000.0,
             member.region != self._identity.region,
             request.length,
--- a/packages/godwitrack_node/src/godwitrack_node/outcomelog.py
+++ b/packages/godwitrack_node/src/godwitrack_node/outcomelog.py
@@ -32,6 +32,7 @@
             attempts=errand.attempts,
             status=errand.status,
             kind=errand.kind.value if errand.kind is not None else None,
+            caller_waited_ms=round(errand.waited * 1000),
             ms=round((now - errand.received_at) * 1000, 1),
             allowed_ms=round((errand.deadline - errand.received_at) * 1000),
             bytes=max(request.length, 0),
--- a/packages/godwitrack_node/src/godwitrack_node/returning.py
+++ b/packages/godwitrack_node/src/godwitrack_node/returning.py
@@ -1,7 +1,8 @@
 """When a refused caller may come back.
 
 Load pattern: more requests than a service has room for, for seconds. Callers that
-are refused together must not return together, and not before there is room.
+are refused together must not return together, and not before there is room. One whose
+objective is over loses nothing by coming back when the burst may be over.
 """
 
 import random
@@ -20,11 +21,16 @@
         """Take the source of the spread; random by default."""
         self._rng = rng or random.Random()
 
-    def choose(self, left):
+    def choose(self, left, spare):
         """Return the seconds after which a refused caller should come back.
 
         Args:
             left: Seconds that the caller will still wait for an answer.
+            spare: Seconds until it has to come back for an answer within its objective.
         """
-        wish = MIN_RETURN_SECONDS + SPREAD_SECONDS * self._rng.random()
-        return max(min(wish, left * MAX_SHARE_OF_TIME_LEFT), 0.0)
+        most = max(left * MAX_SHARE_OF_TIME_LEFT, 0.0)
+        spread = SPREAD_SECONDS
+        if spare < MIN_RETURN_SECONDS:
+            spread = max(most - MIN_RETURN_SECONDS, spread)
+        wish = MIN_RETURN_SECONDS + spread * self._rng.random()
+        return min(wish, most)
--- a/packages/godwitrack_node/src/godwitrack_node/routederrand.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routederrand.py
@@ -72,6 +72,10 @@
         self.kind = None
         self.revision = 0
 
+    def find_waited(self, now):
+        """Return the seconds for which the caller has waited since its first try."""
+        return self.waited + now - self.received_at
+
     @property
     def attempts(self):
         """Attempts made."""
