Keep a node whose link did not open within a short time left, and open one ahead

Change: a connect that fails since less time was left than a new link may take says nothing of the node. It is looked at, once at a time, with the usual time; the link is kept for later calls. Tests: the attempt tells both cases apart; real nodes whose links take longer than a call has (fails before: the node is down, the second call fails, too).

--- a/packages/godwitrack/src/godwitrack/link.py
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -252,13 +252,16 @@
         An open Link.
 
     Raises:
-        LinkError: The other node can't be reached in time.
+        LinkError: The other node can't be reached.
+        LinkTimeout: It was not reached in time.
         LinkRefused: It did not accept the handshake.
     """
     deadline = time.monotonic() + timeout
     host, _, port = address.rpartition(":")
     try:
         sock = socket.create_connection((host, int(port)), timeout)
+    except TimeoutError as error:
+        raise LinkTimeout(f"{address}: {error}") from None
     except (OSError, ValueError) as error:
         raise LinkError(f"{address}: {error}") from None
     tune_link_socket(sock)
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -139,8 +139,13 @@
                 link.abort()
 
     def _connect(self, call):
+        left = call.deadline_ms / 1000.0
         try:
-            return self._pool.acquire(self._address, call.deadline_ms / 1000.0)
+            return self._pool.acquire(self._address, left)
+        except LinkTimeout as error:
+            if left < self._pool.connect_timeout:
+                raise NoTimeToConnect(str(error)) from None
+            raise RequestError(ErrorKind.BACKEND_UNREACHABLE, str(error)) from None
         except LinkError as error:
             raise RequestError(ErrorKind.BACKEND_UNREACHABLE, str(error)) from None
 
@@ -332,5 +337,15 @@
         super().__init__(kind, message.detail)
 
 
+class NoTimeToConnect(RequestError):
+    """The request had less time left than a new link may take.
+
+    Nothing was sent, and the other node may well live.
+    """
+
+    def __init__(self, detail):
+        super().__init__(ErrorKind.BACKEND_UNREACHABLE, detail)
+
+
 def _always():
     return True
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -3,7 +3,12 @@
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.logs import find_logger
 from godwitrack.messages import RoutedCall
-from godwitrack_node.attempt import LocalAttempt, RefusedByNode, RemoteAttempt
+from godwitrack_node.attempt import (
+    LocalAttempt,
+    NoTimeToConnect,
+    RefusedByNode,
+    RemoteAttempt,
+)
 from godwitrack_node.callhandler import CallHandler
 from godwitrack_node.entrant import LATE_SHARE
 from godwitrack_node.exchange import CallerSink, CallerSource, read_first_part
@@ -216,7 +221,9 @@
     def _learn(self, view, error):
         """Take what a failed attempt says of a member."""
         now = self._clock.read_monotonic()
-        if error.kind in AWAY_KINDS:
+        if isinstance(error, NoTimeToConnect):
+            self._look_at(view)
+        elif error.kind in AWAY_KINDS:
             view.note_away(now)
         elif isinstance(error, RefusedByNode) or self._is_own(view):
             if error.kind is ErrorKind.BACKEND_UNREACHABLE:
@@ -293,6 +300,19 @@
                 view.note_down(now)
                 self._executor.submit(self._probe, view)
 
+    def _look_at(self, view):
+        """Look whether a node can be reached; the link is kept for later requests."""
+        if not view.is_looked_at:
+            view.is_looked_at = True
+            self._executor.submit(self._look, view)
+
+    def _look(self, view):
+        try:
+            if not self._news.can_reach(view.member.address):
+                view.note_down(self._clock.read_monotonic())
+        finally:
+            view.is_looked_at = False
+
     def _probe(self, view):
         if self._news.can_reach(view.member.address):
             view.note_up()
--- a/packages/godwitrack_node/src/godwitrack_node/linkpool.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkpool.py
@@ -48,6 +48,11 @@
             for item in items:
                 item.link.close()
 
+    @property
+    def connect_timeout(self):
+        """Seconds within which a node that lives is reached."""
+        return self._connect_timeout
+
     @property
     def opened(self):
         """Links opened so far."""
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -96,12 +96,14 @@
         member: Member.
         in_flight: Own requests that are on their way there.
         is_down: Whether its node could not be reached.
+        is_looked_at: Whether a look is on its way whether its node can be reached.
     """
 
     def __init__(self, member):
         self.member = member
         self.in_flight = 0
         self.is_down = False
+        self.is_looked_at = False
         self._avoid_until = 0.0
         self._down_seconds = DOWN_SECONDS
         self._others = 0.0
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -5,7 +5,7 @@
 from godwitrack.exceptions import ErrorKind, LinkError, LinkTimeout, RequestError
 from godwitrack.load import Load
 from godwitrack.messages import Answer, RoutedCall
-from godwitrack_node.attempt import RemoteAttempt
+from godwitrack_node.attempt import NoTimeToConnect, RemoteAttempt
 
 SILENCE_SECONDS = 0.2
 DEADLINE_MS = 1000.0
@@ -126,3 +126,27 @@
     with pytest.raises(RequestError):
         run_attempt(clock, 9.0, lambda: False)
     assert clock.read_monotonic() - started <= DEADLINE_MS / 1000 + SILENCE_SECONDS
+
+
+class FarPool:
+    """Reaches no node within the time that is allowed.
+
+    Attributes:
+        connect_timeout: Seconds that a new link may take.
+    """
+
+    connect_timeout = 0.3
+
+    def acquire(self, address, timeout):
+        raise LinkTimeout("nothing arrived in time")
+
+
+@pytest.mark.parametrize(("deadline_ms", "is_short"), [(80.0, True), (400.0, False)])
+def test_a_short_time_left_says_nothing_of_a_node(clock, deadline_ms, is_short):
+    attempt = RemoteAttempt(clock, FarPool(), "10.0.0.1:7620", 0.2, lambda load: None)
+    call = make_call()
+    call.deadline_ms = deadline_ms
+    with pytest.raises(RequestError) as caught:
+        attempt.run(call, None, Sink())
+    assert caught.value.kind is ErrorKind.BACKEND_UNREACHABLE
+    assert isinstance(caught.value, NoTimeToConnect) is is_short
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -6,6 +6,7 @@
 import pytest
 
 from callerstand import Caller, make_request_headers, send, wait_for
+from godwitrack.exceptions import LinkTimeout
 from godwitrack.feed import FeedTable
 from godwitrack_node.coldcap import COLD_WINDOW_SECONDS
 from godwitrack_node.feedsources import MAX_AGE_SECONDS
@@ -28,6 +29,8 @@
 MAX_OVERRUN_SECONDS = 0.25
 # A stated bound: work ends half a second after its caller left.
 MAX_LEFT_SECONDS = 0.5
+# A link to another region takes three ways there and back.
+FAR_SECONDS = 0.2
 
 
 @pytest.fixture
@@ -450,3 +453,29 @@
     errand = second.find("entry").begin(request)
     thread.join()
     assert (errand.is_nested, errand.is_repeat) == (True, is_repeated)
+
+
+def test_a_node_that_was_not_reached_in_a_short_time_is_not_left(fleet, monkeypatch):
+    """Seen as calls of 200 ms to another region, whose new links take 120 ms of them.
+
+    The nodes there counted as down for half a second after each.
+    """
+    first, second = fleet.machines[0], fleet.machines[1]
+    pool = first.find("link-pool")
+    connect = pool._connect
+    pool.stop()
+
+    def connect_late(address, authenticator, timeout):
+        if timeout < FAR_SECONDS:
+            time.sleep(timeout)
+            raise LinkTimeout(address)
+        time.sleep(FAR_SECONDS)
+        return connect(address, authenticator, timeout - FAR_SECONDS)
+
+    monkeypatch.setattr(pool, "_connect", connect_late)
+    assert ask(first, "/lamp/1", "r1", seconds=FAR_SECONDS / 2).status == 503
+    view = first.find("roster").find_view(str(second.settings.advertised))
+    wait_for(lambda: not view.is_looked_at)
+    assert not view.is_down
+    # The look left a link, so that a request with as little time finds it.
+    assert ask(first, "/lamp/1", "r2", seconds=FAR_SECONDS / 2).status == 200
