Forget the oldest refused caller in constant time

A process would reach that state after some minutes of refusals. Ruled out: the look for a caller, 1.7 us of processor time. Change: an ordered dictionary. What is kept and forgotten is the same.

--- a/packages/godwitrack_node/src/godwitrack_node/refusedcallers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/refusedcallers.py
@@ -6,6 +6,7 @@
 over before it came.
 """
 
+import collections
 import threading
 
 # Bounds the memory in a long burst; a caller that is forgotten is taken for a new one.
@@ -51,7 +52,7 @@
         """Prepare without any caller."""
         self._clock = clock
         self._lock = threading.Lock()
-        self._callers = {}
+        self._callers = collections.OrderedDict()
 
     def note(self, key, since, until):
         """Note that a caller got no answer and may come back.
@@ -64,8 +65,7 @@
         with self._lock:
             self._callers.pop(key, None)
             if len(self._callers) >= MAX_CALLERS:
-                # The oldest comes first.
-                del self._callers[next(iter(self._callers))]
+                self._callers.popitem(last=False)
             self._callers[key] = (since, until)
 
     def find_waited(self, key):
