Open no more connections to a backend server than its service allows

Cause (read in the code): a guard opened up to 200 connections whatever the service's entry said; a service that allows fewer resets those beyond, and a reset after the send leaves the outcome of a write unknown. Change: the limit follows the service's entry, up to 200; idle connections beyond a lower one are closed. Tests fail before (no such limit).

--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -12,8 +12,8 @@
 from godwitrack_node.speed import MEASURE_SECONDS
 from godwitrack_node.waiting import WaitingRoom
 
-# A backend server accepts 260 connections from all that connect to it.
-CONNECTIONS = 200
+# Bounds the descriptors; no backend server works on so many requests at once.
+MAX_CONNECTIONS = 200
 KEPT_BODY_BYTES = 64 * 1024
 # The backend server ends late work itself; its own word is worth the wait.
 DEADLINE_MARGIN_SECONDS = 0.06
@@ -38,7 +38,7 @@
         """
         super().__init__(clock, identity)
         self._dialect = dialect
-        self._client = client or InstanceClient(clock, address, CONNECTIONS)
+        self._client = client or InstanceClient(clock, address, MAX_CONNECTIONS)
         self._routes = None
         self._registration = None
         self._slowness = USUAL_SLOWNESS
@@ -66,6 +66,10 @@
     def configure(self, slots, cold_rate):
         """Set what the backend server bears; see WaitingRoom.configure."""
         self.room.configure(slots, cold_rate)
+        limits = self._routes.find_limits(self._identity.service)
+        if limits is not None:
+            connections = min(limits.max_connections, MAX_CONNECTIONS)
+            self._client.set_limit(connections)
 
     def take_slowness(self, percent):
         """Note how long work takes now, in percent of the usual time."""
--- a/packages/godwitrack_node/src/godwitrack_node/instance.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instance.py
@@ -64,6 +64,11 @@
         self._idle = []
         self._open = 0
 
+    @property
+    def open_connections(self):
+        """Connections in use or idle."""
+        return self._open
+
     def send(self, request, owns, deadline, watch=None):
         """Send a request and return its answer.
 
@@ -91,10 +96,25 @@
         finally:
             self._give_back(connection, is_reusable)
 
+    def set_limit(self, connections):
+        """Set the most connections at once; those beyond it are closed when idle.
+
+        Args:
+            connections: Number of connections, at least 1.
+        """
+        with self._lock:
+            self._limit = max(connections, 1)
+            surplus = max(self._open - self._limit, 0)
+        self._close_idle(surplus)
+
     def close_idle(self):
         """Close the connections that wait for a next request."""
+        self._close_idle(self._open)
+
+    def _close_idle(self, most):
+        """Close up to so many idle connections, those that wait longest first."""
         with self._lock:
-            idle, self._idle = self._idle, []
+            idle, self._idle = self._idle[:most], self._idle[most:]
             self._open -= len(idle)
         for connection in idle:
             connection.sock.close()
@@ -145,4 +165,8 @@
             return
         connection.idle_since = self._clock.read_monotonic()
         with self._lock:
-            self._idle.append(connection)
+            is_surplus = self._open > self._limit
+            if not is_surplus:
+                self._idle.append(connection)
+        if is_surplus:
+            self._discard(connection)
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,5 +1,6 @@
 """Tests of godwitrack_node.instance against backend servers that misbehave."""
 
+import concurrent.futures
 import socket
 import struct
 import threading
@@ -177,6 +178,46 @@
         assert caught.value.kind is ErrorKind.BACKEND_UNREACHABLE
 
 
+def test_no_more_connections_are_opened_than_the_server_takes():
+    server = ScriptedServer([[0.3, make_answer()], [make_answer(b"two", "2")]])
+    client = make_client(server)
+    client.set_limit(1)
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        first = executor.submit(send, client, make_request())
+        while not server.heads:
+            time.sleep(0.01)
+        with pytest.raises(RequestError) as caught:
+            send(client, make_request(), "2")
+        assert caught.value.kind is ErrorKind.SERVER_BUSY
+        assert first.result().body == b"ok"
+    assert server.connections == 1
+
+
+def test_connections_beyond_a_lower_limit_are_closed_when_idle():
+    # A script that is left keeps the server's connections open.
+    server = ScriptedServer([[0.3, make_answer()], [0.3, make_answer()], [5.0]])
+    client = make_client(server)
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        results = [executor.submit(send, client, make_request()) for _ in range(2)]
+        while len(server.heads) < 2:
+            time.sleep(0.01)
+        client.set_limit(1)
+        assert [result.result().body for result in results] == [b"ok", b"ok"]
+    assert client.open_connections == 1
+
+
+def test_idle_connections_beyond_a_lower_limit_are_closed():
+    # A script that is left keeps the server's connections open.
+    server = ScriptedServer([[0.3, make_answer()], [0.3, make_answer()], [5.0]])
+    client = make_client(server)
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        results = [executor.submit(send, client, make_request()) for _ in range(2)]
+        assert all(result.result() for result in results)
+    assert client.open_connections == 2
+    client.set_limit(1)
+    assert client.open_connections == 1
+
+
 def test_an_answer_before_the_end_of_a_long_body_ends_its_connection():
     server = ScriptedServer([[make_answer(), 1.0], [make_answer(b"two", "2")]])
     client = make_client(server)
