Keep retries within the fleet's limits when nodes start again

Cause (read, then shown by a test): a node that starts again knows nothing of what it spent, so that few nodes that all restart within a window could send 80 of 74 retries allowed. Change: a node takes half of its part of the slack, and 0.8 in place of 0.6 of the ratio.

--- a/packages/godwitrack_node/src/godwitrack_node/retryshare.py
+++ b/packages/godwitrack_node/src/godwitrack_node/retryshare.py
@@ -9,7 +9,9 @@
 import threading
 
 # The window slides, and requests count where they arrive, so some is left over.
-SAFETY = 0.6
+REQUESTS_SAFETY = 0.8
+# A node that starts again within a window knows nothing of what it has spent.
+SLACK_SAFETY = 0.5
 # A run that is repeated makes its calls to other services once more, too.
 RUN_COST = 2.5
 
@@ -93,9 +95,9 @@
     def _has(self, service, cost):
         limits = self._limits
         requests = len(self._count(self._requests, service))
-        slack = limits.slack / max(self._count_nodes(), 1)
+        slack = SLACK_SAFETY * limits.slack / max(self._count_nodes(), 1)
         spent = sum(spent for _, spent in self._count(self._retries, service))
-        return spent + cost <= SAFETY * (requests * limits.ratio + slack)
+        return spent + cost <= REQUESTS_SAFETY * requests * limits.ratio + slack
 
     def _count(self, table, service):
         moments = table.setdefault(service, collections.deque())
--- a/tests/test_retryshare.py
+++ b/tests/test_retryshare.py
@@ -32,6 +32,24 @@
     assert moments
 
 
+@pytest.mark.parametrize("nodes", [1, 4, 14])
+@pytest.mark.parametrize("requests_a_second", [1, 5, 200])
+def test_nodes_that_start_again_stay_within_the_limits(clock, nodes, requests_a_second):
+    """All nodes end in the middle of a window, and the new ones know of no retries."""
+    limits = RetryLimits(RATIO, WINDOW_SECONDS, SLACK)
+    retries = requests = 0
+    for _ in range(2):
+        shares = [RetryShare(clock, limits, lambda: nodes) for _ in range(nodes)]
+        for number in range(int(WINDOW_SECONDS / 2) * requests_a_second):
+            shares[number % nodes].note_request("fieldwork")
+            requests += 1
+        for share in shares:
+            while share.withdraw("fieldwork"):
+                retries += 1
+        clock.advance(WINDOW_SECONDS / 2 - 0.1)
+    assert 0 < retries <= RATIO * requests + SLACK
+
+
 def test_services_have_shares_of_their_own(clock):
     share = RetryShare(clock, RetryLimits(RATIO, WINDOW_SECONDS, 2.0), lambda: 1)
     assert share.withdraw("scenbok")
