Let requests leave servers that are slow at the moment for others nearby

A third of the time each server is slow, and the others are not. Ruled out: placing (it avoids what is known to be slow, but knowledge fades within 150 ms); queues (few waited for a place). Change: a guard that is slow now refuses a request that may move; its entry tries another server of the region (uploads: of the data centre), at most twice, and comes back to one of them before it crosses regions.

--- a/packages/godwitrack/src/godwitrack/exceptions.py
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -18,6 +18,7 @@
     TOO_DEEP = "too_deep"
     OVER_CAPACITY = "over_capacity"
     SERVER_BUSY = "server_busy"
+    SERVER_SLOW = "server_slow"
     SERVER_SHED = "server_shed"
     NO_SERVER = "no_server"
     NOT_READY = "not_ready"
@@ -93,6 +94,9 @@
     ErrorKind.SERVER_BUSY: ErrorAnswer(
         503, True, True, True, "The backend server can bear no more load now."
     ),
+    ErrorKind.SERVER_SLOW: ErrorAnswer(
+        503, True, True, True, "The backend server is slow at the moment."
+    ),
     ErrorKind.SERVER_SHED: ErrorAnswer(
         503, True, True, True, "The backend server itself turned the request away."
     ),
--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -229,7 +229,8 @@
     caller gave, and `instance` the id of the backend server's process that was
     chosen. `objective_ms` is the time within which an answer is worth most, counted
     from the caller's first try, and `waited_ms` what of it is over. With `is_repeat`,
-    an earlier attempt reached a server, or a repeated run makes this call.
+    an earlier attempt reached a server, or a repeated run makes this call. With
+    `may_move`, another backend server nearby can take it.
     """
 
     TAG = 16
@@ -246,6 +247,7 @@
         ("idempotent", bool),
         ("is_nested", bool),
         ("is_repeat", bool),
+        ("may_move", bool),
         ("regions", list),
         ("priority", int),
         ("objective_ms", float),
--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -144,12 +144,15 @@
         while True:
             view = self._choose(errand, tried, uncertain)
             tried.add(view.member.address)
+            errand.left.discard(view.member.address)
             call = self._make_call(errand, request, view.member, body, more)
             try:
                 self._attempt(errand, view, call, source, sink, tried)
                 return
             except RequestError as error:
                 errand.rule.note(error)
+                if error.kind is ErrorKind.SERVER_SLOW:
+                    errand.left.add(errand.server)
                 self._log_attempt(errand, error)
                 if not error.answer.not_run:
                     uncertain = uncertain or error
@@ -177,7 +180,13 @@
             if view.member.data_centre not in self._routes.taken_out
         ]
         now = self._clock.read_monotonic()
-        return self._placer.choose(views, errand.route, now, tried)
+        route, was_refused = errand.route, errand.rule.was_refused
+        best = self._placer.choose(views, route, now, tried, was_refused)
+        if errand.left and not self._placer.is_near(best, route):
+            # A slow moment ends sooner than the way to another region pays.
+            tried = tried - errand.left
+            best = self._placer.choose(views, route, now, tried, was_refused)
+        return best
 
     def _attempt(self, errand, view, call, source, sink, tried):
         """Make one attempt and learn from it."""
@@ -283,6 +292,7 @@
             route.idempotent,
             errand.is_nested,
             errand.is_repeat or errand.rule.sent > 0,
+            self._may_move(errand, member),
             sorted(route.regions),
             route.priority,
             route.objective * 1000.0,
@@ -294,6 +304,18 @@
             more,
         )
 
+    def _may_move(self, errand, member):
+        """Tell whether another server nearby can take a request."""
+        if not errand.rule.may_move:
+            return False
+        now = self._clock.read_monotonic()
+        return any(
+            view.member.address != member.address
+            and view.is_usable(now)
+            and self._placer.is_near(view, errand.route)
+            for view in self._roster.list_views(errand.service)
+        )
+
     def _probe_silent(self):
         """Look whether nodes that could not be reached answer again."""
         now = self._clock.read_monotonic()
--- a/packages/godwitrack_node/src/godwitrack_node/entrant.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entrant.py
@@ -20,6 +20,7 @@
     Attributes:
         priority: Rank, 0 for the most urgent.
         is_bound: Whether it may run in no other region.
+        may_move: Whether another backend server nearby can take it.
         is_nested: Whether a request that already runs waits for it.
         objective: Time within which its answer is worth most, in seconds.
         deadline: Monotonic time after which nobody waits for it, in seconds.
@@ -39,6 +40,7 @@
         "ended_at",
         "is_bound",
         "is_nested",
+        "may_move",
         "objective",
         "priority",
         "refusal",
@@ -56,12 +58,14 @@
         is_nested=False,
         waited=0.0,
         is_bound=False,
+        may_move=False,
     ):
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
         self.is_nested = is_nested
         self.is_bound = is_bound
+        self.may_move = may_move
         self.waited = waited
         self.run_seconds = 0.0
         self.arrived_at = 0.0
--- a/packages/godwitrack_node/src/godwitrack_node/gate.py
+++ b/packages/godwitrack_node/src/godwitrack_node/gate.py
@@ -154,6 +154,7 @@
             call.is_nested,
             call.waited_ms / 1000.0,
             bool(call.regions),
+            call.may_move,
         )
         self.room.acquire(entrant, source.watch)
         is_answered = False
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -209,7 +209,7 @@
         self._data_centre = data_centre
         self._rng = rng or random.Random()
 
-    def choose(self, views, route, now, tried=()):
+    def choose(self, views, route, now, tried=(), was_refused=False):
         """Return the MemberView that a request should go to, or None.
 
         Args:
@@ -217,9 +217,9 @@
             route: HostRoute of the request.
             now: Monotonic time in seconds.
             tried: Addresses of members that were tried already.
+            was_refused: Whether one of them refused the request for want of room.
         """
         best, least = None, math.inf
-        is_repeat = bool(tried)
         may_make_way = _may_make_way(route)
         for view in views:
             member = view.member
@@ -227,7 +227,7 @@
                 continue
             if not route.may_run_in(member.region):
                 continue
-            distance = self._find_distance(member, route, is_repeat)
+            distance = self._find_distance(member, route, was_refused)
             cost = view.estimate_cost(now) + distance
             if may_make_way:
                 cost += HOME_DEMAND_COST * view.estimate_home_demand(now)
@@ -236,12 +236,23 @@
                 best, least = view, cost
         return best
 
-    def _find_distance(self, member, route, is_repeat):
+    def is_near(self, view, route):
+        """Tell whether a request can change to a MemberView, or None, at little cost.
+
+        Large bodies stay in the data centre, others in the region.
+        """
+        if view is None:
+            return False
+        if route.is_upload:
+            return view.member.data_centre == self._data_centre
+        return view.member.region == self._region
+
+    def _find_distance(self, member, route, was_refused):
         if member.data_centre == self._data_centre:
             return 0.0
         if member.region == self._region:
             cost = OTHER_DATA_CENTRE_COST
-        elif is_repeat and not route.is_upload:
+        elif was_refused and not route.is_upload:
             cost = REPEAT_REGION_COST
         else:
             cost = OTHER_REGION_COST
--- a/packages/godwitrack_node/src/godwitrack_node/repeats.py
+++ b/packages/godwitrack_node/src/godwitrack_node/repeats.py
@@ -8,6 +8,8 @@
 from godwitrack.exceptions import ErrorKind
 from godwitrack_node.retryshare import RUN_COST
 
+# Each move costs a message, and slow moments last for some 100 ms.
+MAX_MOVES = 2
 # A service that refuses three times in a row has no room; each try costs a message.
 MAX_REFUSALS = 3
 REPEATABLE_KINDS = frozenset(
@@ -26,10 +28,11 @@
 
     Attributes:
         sent: Attempts that may have reached a backend server.
-        refused: Attempts that were refused before that.
+        refused: Attempts that were refused before that for want of room.
+        moved: Attempts that left a server which was slow at the moment.
     """
 
-    __slots__ = ("_route", "_service", "_share", "refused", "sent")
+    __slots__ = ("_route", "_service", "_share", "moved", "refused", "sent")
 
     def __init__(self, share, service, route):
         """Take the node's RetryShare, the service and the HostRoute."""
@@ -38,11 +41,22 @@
         self._route = route
         self.sent = 0
         self.refused = 0
+        self.moved = 0
 
     @property
     def attempts(self):
         """Attempts made."""
-        return self.sent + self.refused
+        return self.sent + self.refused + self.moved
+
+    @property
+    def was_refused(self):
+        """Whether an attempt ended for another reason than a slow moment."""
+        return self.sent + self.refused > 0
+
+    @property
+    def may_move(self):
+        """Whether the next attempt may leave a server which is slow at the moment."""
+        return self.moved < MAX_MOVES and not self.was_refused
 
     def may_replace(self, status):
         """Tell whether an answer with this status could make way for another one."""
@@ -54,7 +68,9 @@
 
     def note(self, error):
         """Count an attempt that ended with a RequestError."""
-        if is_refusal(error):
+        if error.kind is ErrorKind.SERVER_SLOW:
+            self.moved += 1
+        elif is_refusal(error):
             self.refused += 1
         else:
             self.sent += 1
@@ -75,6 +91,8 @@
         """
         if self.sent >= self._route.max_attempts:
             return False
+        if error.kind is ErrorKind.SERVER_SLOW:
+            return True
         if is_refusal(error):
             return error.answer.retryable and self.refused < MAX_REFUSALS
         if not error.answer.not_run and not self._route.idempotent:
--- a/packages/godwitrack_node/src/godwitrack_node/routederrand.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routederrand.py
@@ -19,6 +19,7 @@
         route: HostRoute, or None.
         service: Name of the service that it goes to, or "".
         rule: RepeatRule, or None.
+        left: Addresses of members that it left since they were slow at the moment.
         server: Address of the member tried last, or "".
         load_age_ms: Age of the load that placed it there, or None.
         status: HTTP status given to the caller, or 0.
@@ -33,6 +34,7 @@
         "is_nested",
         "is_repeat",
         "kind",
+        "left",
         "load_age_ms",
         "method",
         "path",
@@ -66,6 +68,7 @@
         self.route = None
         self.service = ""
         self.rule = None
+        self.left = set()
         self.server = ""
         self.load_age_ms = None
         self.status = 0
--- a/packages/godwitrack_node/src/godwitrack_node/speed.py
+++ b/packages/godwitrack_node/src/godwitrack_node/speed.py
@@ -69,6 +69,10 @@
             return True
         return age > MAX_AGE_SECONDS and waited >= MEASURE_SECONDS
 
+    def is_slow(self, now):
+        """Tell whether the backend server is known to be slow at this moment."""
+        return now - self._noted_at <= FRESH_SECONDS and self._is_slow()
+
     def _is_slow(self):
         best = min(slowness for _, slowness in self._recent)
         return self._slowness > SLOW_FACTOR * best
--- a/packages/godwitrack_node/src/godwitrack_node/waiting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/waiting.py
@@ -136,6 +136,8 @@
         if self.offer(entrant):
             return
         self._measure_speed()
+        if self.leave(entrant):
+            raise RequestError(ErrorKind.SERVER_SLOW)
         while not entrant.wait(CHECK_SECONDS):
             if watch is not None and watch.fileno() >= 0 and watch.is_gone():
                 if self._withdraw(entrant):
@@ -183,6 +185,23 @@
                 started.append(entrant)
         _wake(started)
 
+    def leave(self, entrant):
+        """Take a request out of the queue if it may move and the server is slow now.
+
+        Args:
+            entrant: Entrant that waits.
+
+        Returns:
+            Whether it was taken out and did not run.
+        """
+        with self._lock:
+            now = self._clock.read_monotonic()
+            is_waiting = entrant.may_move and entrant in self._queue
+            if not is_waiting or not self._gauge.is_slow(now):
+                return False
+            self._queue.remove(entrant)
+            return True
+
     def release(self, entrant, is_answered):
         """Give the place of a request back and let waiting ones through.
 
--- /dev/null
+++ b/tests/entryload.py
@@ -0,0 +1,224 @@
+"""Loads of one entry and several servers that tests replay on a clock set by hand."""
+
+import heapq
+import itertools
+import random
+
+from godwitrack.exceptions import RequestError
+from godwitrack.load import Load
+from godwitrack.routetable import HostRoute, SplitPart
+from godwitrack_node.entrant import Entrant
+from godwitrack_node.placing import Member, MemberView, Placer
+from godwitrack_node.waiting import WaitingRoom
+from loads import USUAL, Phases
+
+SEED = 7
+SECONDS = 10.0
+HOME, OTHER = "region-0", "region-1"
+# One way between regions.
+WAY_SECONDS = 0.02
+LOOK_SECONDS = 0.005
+DEADLINE_SECONDS = 3.0
+
+
+class Kind:
+    """One kind of request.
+
+    Attributes:
+        route: HostRoute.
+        rate: Requests a second.
+        run_seconds: Duration of a run in a usual moment.
+        is_nested: Whether a run that is at work waits for it.
+        asked: Requests made.
+        in_time: Requests answered within their objective.
+    """
+
+    __slots__ = ("asked", "in_time", "is_nested", "rate", "route", "run_seconds")
+
+    def __init__(self, rate, run_seconds, objective, regions=(), is_nested=False):
+        self.rate = rate
+        self.run_seconds = run_seconds
+        self.is_nested = is_nested
+        self.asked = 0
+        self.in_time = 0
+        self.route = HostRoute(
+            "r",
+            "h",
+            "/",
+            [SplitPart("billing", 1)],
+            idempotent=True,
+            timeout=DEADLINE_SECONDS,
+            objective=objective,
+            regions=regions,
+        )
+
+
+class EntryLoad:
+    """Requests of several Kinds that one entry sends to a few servers.
+
+    Attributes:
+        crossed: Tries that went to another region.
+    """
+
+    TRIES = 2
+    SLOTS = 18
+    MOVES = 0
+
+    def __init__(self, clock, kinds, regions, is_uneven=False):
+        """Prepare without playing.
+
+        Args:
+            clock: Clock that is set by hand.
+            kinds: Kinds.
+            regions: Region of each server.
+            is_uneven: Whether servers are slow in moments of their own.
+        """
+        self._clock = clock
+        self._kinds = kinds
+        self._placer = Placer(HOME, "dc-0", random.Random(SEED))
+        self._views = []
+        self._rooms = {}
+        self._phases = {}
+        for number, region in enumerate(regions):
+            name = f"dc-{number}"
+            place = "dc-0" if region == HOME else name
+            member = Member(name, "billing", region, place, self.SLOTS, True, "i", 1)
+            phases = Phases(clock, SECONDS, SEED + number) if is_uneven else None
+            self._views.append(MemberView(member))
+            self._rooms[name] = WaitingRoom(clock, self.SLOTS, phases and phases.read)
+            self._phases[name] = phases
+        self._events = []
+        self._number = itertools.count()
+        self.crossed = 0
+
+    def play(self):
+        """Play all of it; returns the EntryLoad."""
+        start = self._clock.read_monotonic()
+        for kind in self._kinds:
+            kind.asked = int(kind.rate * SECONDS)
+            for number in range(kind.asked):
+                moment = start + number / kind.rate
+                self._add(moment, self._try, kind, moment, (), 0)
+        while self._events:
+            moment, _, action, values = heapq.heappop(self._events)
+            self._clock.advance(max(moment - self._clock.read_monotonic(), 0.0))
+            action(*values)
+        return self
+
+    def _add(self, moment, action, *values):
+        heapq.heappush(self._events, (moment, next(self._number), action, values))
+
+    def _try(self, kind, born, tried, moves):
+        now = self._clock.read_monotonic()
+        was_refused = len(tried) > moves
+        view = self._placer.choose(self._views, kind.route, now, tried, was_refused)
+        if view is None or len(tried) - moves == self.TRIES:
+            return
+        view.in_flight += 1
+        self.crossed += view.member.region != HOME
+        tried = (*tried, view.member.address)
+        self._add(now + _find_way(view), self._arrive, kind, born, tried, moves, view)
+
+    def _arrive(self, kind, born, tried, moves, view):
+        deadline = self._clock.read_monotonic() + DEADLINE_SECONDS
+        entrant = Entrant(
+            1,
+            kind.route.objective,
+            deadline,
+            kind.is_nested,
+            is_bound=bool(kind.route.regions),
+            may_move=moves < self.MOVES,
+        )
+        room = self._find_room(view)
+        self._tell_speed(view)
+        try:
+            room.offer(entrant)
+        except RequestError:
+            self._send_back(kind, born, tried, moves, view)
+            return
+        if room.leave(entrant):
+            self._send_back(kind, born, tried, moves + 1, view)
+            return
+        self._look(entrant, kind, born, tried, moves, view)
+
+    def _look(self, entrant, kind, born, tried, moves, view):
+        now = self._clock.read_monotonic()
+        if entrant.started_at is not None:
+            run_seconds = kind.run_seconds * self._read_speed(view) / USUAL
+            end = entrant.started_at + run_seconds
+            self._add(end, self._end, entrant, kind, born, view)
+            return
+        self._tell_speed(view)
+        self._find_room(view).review(entrant)
+        if entrant.refusal is not None:
+            self._send_back(kind, born, tried, moves, view)
+            return
+        moment = now + LOOK_SECONDS
+        self._add(moment, self._look, entrant, kind, born, tried, moves, view)
+
+    def _end(self, entrant, kind, born, view):
+        self._find_room(view).release(entrant, True)
+        moment = self._clock.read_monotonic() + _find_way(view)
+        kind.in_time += moment - born <= kind.route.objective
+        self._add(moment, self._take_load, view)
+
+    def _send_back(self, kind, born, tried, moves, view):
+        moment = self._clock.read_monotonic() + _find_way(view)
+        self._add(moment, self._take_load, view)
+        self._add(moment, self._try, kind, born, tried, moves)
+
+    def _take_load(self, view):
+        room = self._find_room(view)
+        view.in_flight -= 1
+        load = Load(
+            room.count_taken(),
+            room.queued,
+            room.limit,
+            1,
+            self._read_speed(view),
+            room.count_home_demand(),
+        )
+        view.take_load(load, self._clock.read_monotonic())
+
+    def _tell_speed(self, view):
+        if self._phases[view.member.address]:
+            self._find_room(view).note_speed(self._read_speed(view))
+
+    def _read_speed(self, view):
+        phases = self._phases[view.member.address]
+        return phases.read() if phases else USUAL
+
+    def _find_room(self, view):
+        return self._rooms[view.member.address]
+
+
+class FullRegion(EntryLoad):
+    """One server in the home region and two in another.
+
+    Attributes:
+        bound: Kind that is bound to the home region.
+        free: Kind of nested calls that may run anywhere.
+    """
+
+    def __init__(self, clock, bound_per_second=36):
+        self.bound = Kind(bound_per_second, 0.45, 0.8, (HOME,))
+        self.free = Kind(90, 0.08, 0.8, is_nested=True)
+        super().__init__(clock, (self.bound, self.free), (HOME, OTHER, OTHER))
+
+
+class SlowMoments(EntryLoad):
+    """Short calls to three servers, each slow in moments of its own, with room at all.
+
+    Attributes:
+        kind: The only Kind.
+    """
+
+    def __init__(self, clock, moves):
+        """Prepare for requests that leave so many servers which are slow."""
+        self.MOVES = moves
+        self.kind = Kind(100, 0.02, 0.08, is_nested=True)
+        super().__init__(clock, (self.kind,), (HOME, HOME, HOME), is_uneven=True)
+
+
+def _find_way(view):
+    return 0.0 if view.member.region == HOME else WAY_SECONDS
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -20,8 +20,8 @@
 class Phases:
     """A server whose speed changes at random moments, on a clock set by hand."""
 
-    def __init__(self, clock, seconds):
-        rng = random.Random(SEED)
+    def __init__(self, clock, seconds, seed=SEED):
+        rng = random.Random(seed)
         self._clock = clock
         self._changes = []
         moment, is_slow = clock.read_monotonic(), False
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -26,6 +26,7 @@
         idempotent,
         False,
         False,
+        False,
         [],
         1,
         500.0,
--- a/tests/test_homedemand.py
+++ b/tests/test_homedemand.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from entryload import FullRegion
 from godwitrack_node.entrant import Entrant
 from godwitrack_node.homedemand import HomeDemand
-from regionload import FullRegion
 
 
 def make_entrant(is_bound):
@@ -39,12 +39,12 @@
     after = FullRegion(clock).play()
     monkeypatch.setattr("godwitrack_node.placing.HOME_DEMAND_COST", 0.0)
     before = FullRegion(clock).play()
-    assert before.bound_in_time < 0.8 * before.bound
-    assert after.bound_in_time >= 0.9 * after.bound
-    assert after.free_in_time >= 0.95 * before.free_in_time
+    assert before.bound.in_time < 0.8 * before.bound.asked
+    assert after.bound.in_time >= 0.9 * after.bound.asked
+    assert after.free.in_time >= 0.95 * before.free.in_time
 
 
 def test_nothing_crosses_regions_while_the_home_region_has_room(clock):
     load = FullRegion(clock, bound_per_second=10).play()
     assert load.crossed == 0
-    assert load.bound_in_time == load.bound
+    assert load.bound.in_time == load.bound.asked
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -8,7 +8,9 @@
 from callerstand import Caller, make_request_headers, wait_for
 from godwitrack.exceptions import ErrorKind, LinkTimeout, RequestError
 from godwitrack_node.httpserver import HttpRequest
-from hostedfleet import PLACES, ask, break_off, list_runs
+from godwitrack_node.repeats import MAX_MOVES
+from hostedfleet import PLACES, RESOURCES, ask, break_off, list_runs
+from operatorsrows import make_config
 from platformstand import Fleet
 
 # A stated bound: an answer at most a quarter of a second after the route's time-out.
@@ -212,3 +214,31 @@
     first, second = entrants[0], entrants[-1]
     assert first.waited < RETURN_SECONDS
     assert (second.waited >= RETURN_SECONDS) is is_known
+
+
+def test_a_request_leaves_slow_servers_nearby_and_returns_if_all_are(near_fleet):
+    """Where all are slow, one of them serves it before another region does."""
+    rooms = [machine.find("guard").room for machine in near_fleet.machines[:2]]
+    left = []
+    for room in rooms:
+        room.leave = lambda entrant: entrant.may_move and not left.append(entrant)
+        room.offer = make_offer(room)
+    assert ask(near_fleet.machines[2], "/read/1", "r1").status == 200
+    assert len(left) == MAX_MOVES
+    assert list_runs(near_fleet, "r1")[0] in ("i-0", "i-1")
+
+
+def make_offer(room):
+    """Return an offer() that lets those wait that may move."""
+    offer = room.offer
+    return lambda entrant: not entrant.may_move and offer(entrant)
+
+
+@pytest.fixture
+def near_fleet():
+    """Two servers of a service in one data centre, and one in another region."""
+    fleet = Fleet([("scenbok", "dc-a"), ("scenbok", "dc-a"), *PLACES[1:]])
+    fleet.store.put("op", "config", make_config(4, *RESOURCES))
+    fleet.wait_ready()
+    yield fleet
+    fleet.close()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -31,9 +31,9 @@
     )
 
 
-def choose(views, route=None, tried=(), now=NOW):
+def choose(views, route=None, tried=(), now=NOW, was_refused=False):
     placer = Placer("region-0", "dc-0", random.Random(1))
-    view = placer.choose(views, route or make_route(), now, tried)
+    view = placer.choose(views, route or make_route(), now, tried, was_refused)
     return view.member.address if view is not None else None
 
 
@@ -85,7 +85,7 @@
     views[1].take_load(make_load(13, 2, slowness=200), NOW)
     views[2].take_load(far, NOW)
     route = make_route(is_upload=is_upload)
-    assert choose(views, route, tried) == expected
+    assert choose(views, route, tried, was_refused=bool(tried)) == expected
 
 
 @pytest.mark.parametrize(
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -4,7 +4,7 @@
 
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.routetable import HostRoute, SplitPart
-from godwitrack_node.repeats import RepeatRule
+from godwitrack_node.repeats import MAX_MOVES, MAX_REFUSALS, RepeatRule
 from godwitrack_node.retryshare import RetryLimits, RetryShare
 
 
@@ -65,3 +65,26 @@
     refusal = RequestError(ErrorKind.SERVER_BUSY)
     rule.note(refusal)
     assert rule.allows(refusal)
+
+
+def test_moves_from_slow_servers_do_not_use_up_other_tries(clock):
+    rule = make_rule(clock, False)
+    moves = 0
+    while rule.may_move:
+        slow = RequestError(ErrorKind.SERVER_SLOW)
+        rule.note(slow)
+        assert rule.allows(slow)
+        moves += 1
+    assert moves == rule.attempts == MAX_MOVES
+    busy = RequestError(ErrorKind.SERVER_BUSY)
+    for refused in range(1, MAX_REFUSALS + 1):
+        rule.note(busy)
+        assert rule.allows(busy) is (refused < MAX_REFUSALS)
+
+
+def test_a_request_that_was_refused_moves_no_more(clock):
+    rule = make_rule(clock, True)
+    assert rule.may_move
+    rule.note(RequestError(ErrorKind.SERVER_BUSY))
+    assert rule.was_refused
+    assert not rule.may_move
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from entryload import SlowMoments
 from godwitrack_node.entrant import Entrant
+from godwitrack_node.repeats import MAX_MOVES
 from godwitrack_node.speed import (
     FRESH_SECONDS,
     HOLD_SHARE,
@@ -23,8 +25,8 @@
 RUN_SECONDS = 0.36
 
 
-def make_entrant(arrived_at=100.0, objective=OBJECTIVE_SECONDS):
-    entrant = Entrant(1, objective, arrived_at + 5.0)
+def make_entrant(arrived_at=100.0, may_move=False):
+    entrant = Entrant(1, OBJECTIVE_SECONDS, arrived_at + 5.0, may_move=may_move)
     entrant.arrived_at = arrived_at
     return entrant
 
@@ -149,3 +151,35 @@
     before = Burst(clock, BURST_PER_SECOND, phases=Phases(clock, BURST_SECONDS)).play()
     assert after.in_time > 1.25 * before.in_time
     assert after.served > before.served
+
+
+@pytest.mark.parametrize(
+    ("may_move", "slowness", "age", "leaves"),
+    [
+        (True, SLOW, 0.0, True),
+        (False, SLOW, 0.0, False),
+        (True, SLOW, 2 * FRESH_SECONDS, False),
+        (True, USUAL, 0.0, False),
+    ],
+)
+def test_who_leaves_a_server_in_a_slow_moment(clock, may_move, slowness, age, leaves):
+    room = WaitingRoom(clock, 1, lambda: slowness)
+    room.note_speed(USUAL)
+    room.acquire(make_entrant(clock.read_monotonic()))
+    entrant = make_entrant(clock.read_monotonic(), may_move)
+    room.offer(entrant)
+    room.note_speed(slowness)
+    clock.advance(age)
+    assert room.leave(entrant) is leaves
+    assert room.queued == (0 if leaves else 1)
+
+
+def test_calls_leave_servers_that_are_slow_at_the_moment(clock):
+    """The load pattern, beside the policy before it, which waits where it was sent.
+
+    Seen on a quiet day: calls with 80 ms took 120 and more in one of ten cases, as they
+    waited for half of that and then ran in the slow moment (quiet-1 of ljusnav).
+    """
+    before = SlowMoments(clock, 0).play().kind
+    after = SlowMoments(clock, MAX_MOVES).play().kind
+    assert after.asked - after.in_time <= (before.asked - before.in_time) / 2
