--- a/tests/entryload.py
+++ b/tests/entryload.py
@@ -1,7 +1,5 @@
 """Loads of one entry and several servers that tests replay on a clock set by hand."""
 
-import heapq
-import itertools
 import random
 
 from godwitrack.exceptions import RequestError
@@ -10,7 +8,7 @@
 from godwitrack_node.entrant import Entrant
 from godwitrack_node.placing import Member, MemberView, Placer
 from godwitrack_node.waiting import WaitingRoom
-from loads import USUAL, Phases
+from loads import USUAL, Phases, Timeline
 
 SEED = 7
 SECONDS = 10.0
@@ -53,6 +51,30 @@
         )
 
 
+class Errand:
+    """One request on its way.
+
+    Attributes:
+        kind: Kind.
+        born: Monotonic time at which it was made.
+        tried: Addresses of the servers that it was sent to.
+        moves: How many of them it left as they were slow.
+    """
+
+    __slots__ = ("born", "kind", "moves", "tried")
+
+    def __init__(self, kind, born):
+        self.kind = kind
+        self.born = born
+        self.tried = []
+        self.moves = 0
+
+    @property
+    def refused(self):
+        """How many servers refused it for want of room."""
+        return len(self.tried) - self.moves
+
+
 class EntryLoad:
     """Requests of several Kinds that one entry sends to a few servers.
 
@@ -87,8 +109,7 @@
             self._views.append(MemberView(member))
             self._rooms[name] = WaitingRoom(clock, self.SLOTS, phases and phases.read)
             self._phases[name] = phases
-        self._events = []
-        self._number = itertools.count()
+        self._timeline = Timeline(clock)
         self.crossed = 0
 
     def play(self):
@@ -98,28 +119,25 @@
             kind.asked = int(kind.rate * SECONDS)
             for number in range(kind.asked):
                 moment = start + number / kind.rate
-                self._add(moment, self._try, kind, moment, (), 0)
-        while self._events:
-            moment, _, action, values = heapq.heappop(self._events)
-            self._clock.advance(max(moment - self._clock.read_monotonic(), 0.0))
-            action(*values)
+                self._timeline.add(moment, self._try, Errand(kind, moment))
+        self._timeline.play()
         return self
 
-    def _add(self, moment, action, *values):
-        heapq.heappush(self._events, (moment, next(self._number), action, values))
-
-    def _try(self, kind, born, tried, moves):
+    def _try(self, errand):
         now = self._clock.read_monotonic()
-        was_refused = len(tried) > moves
-        view = self._placer.choose(self._views, kind.route, now, tried, was_refused)
-        if view is None or len(tried) - moves == self.TRIES:
+        if errand.refused == self.TRIES:
+            return
+        route, was_refused = errand.kind.route, errand.refused > 0
+        view = self._placer.choose(self._views, route, now, errand.tried, was_refused)
+        if view is None:
             return
         view.in_flight += 1
         self.crossed += view.member.region != HOME
-        tried = (*tried, view.member.address)
-        self._add(now + _find_way(view), self._arrive, kind, born, tried, moves, view)
+        errand.tried.append(view.member.address)
+        self._timeline.add(now + _find_way(view), self._arrive, errand, view)
 
-    def _arrive(self, kind, born, tried, moves, view):
+    def _arrive(self, errand, view):
+        kind = errand.kind
         deadline = self._clock.read_monotonic() + DEADLINE_SECONDS
         entrant = Entrant(
             1,
@@ -127,45 +145,45 @@
             deadline,
             kind.is_nested,
             is_bound=bool(kind.route.regions),
-            may_move=moves < self.MOVES,
+            may_move=errand.moves < self.MOVES,
         )
         room = self._find_room(view)
         self._tell_speed(view)
         try:
             room.offer(entrant)
         except RequestError:
-            self._send_back(kind, born, tried, moves, view)
+            self._send_back(errand, view)
             return
         if room.leave(entrant):
-            self._send_back(kind, born, tried, moves + 1, view)
+            errand.moves += 1
+            self._send_back(errand, view)
             return
-        self._look(entrant, kind, born, tried, moves, view)
+        self._look(errand, view, entrant)
 
-    def _look(self, entrant, kind, born, tried, moves, view):
-        now = self._clock.read_monotonic()
+    def _look(self, errand, view, entrant):
         if entrant.started_at is not None:
-            run_seconds = kind.run_seconds * self._read_speed(view) / USUAL
+            run_seconds = errand.kind.run_seconds * self._read_speed(view) / USUAL
             end = entrant.started_at + run_seconds
-            self._add(end, self._end, entrant, kind, born, view)
+            self._timeline.add(end, self._end, errand, view, entrant)
             return
         self._tell_speed(view)
         self._find_room(view).review(entrant)
         if entrant.refusal is not None:
-            self._send_back(kind, born, tried, moves, view)
+            self._send_back(errand, view)
             return
-        moment = now + LOOK_SECONDS
-        self._add(moment, self._look, entrant, kind, born, tried, moves, view)
+        moment = self._clock.read_monotonic() + LOOK_SECONDS
+        self._timeline.add(moment, self._look, errand, view, entrant)
 
-    def _end(self, entrant, kind, born, view):
+    def _end(self, errand, view, entrant):
         self._find_room(view).release(entrant, True)
         moment = self._clock.read_monotonic() + _find_way(view)
-        kind.in_time += moment - born <= kind.route.objective
-        self._add(moment, self._take_load, view)
+        errand.kind.in_time += moment - errand.born <= errand.kind.route.objective
+        self._timeline.add(moment, self._take_load, view)
 
-    def _send_back(self, kind, born, tried, moves, view):
+    def _send_back(self, errand, view):
         moment = self._clock.read_monotonic() + _find_way(view)
-        self._add(moment, self._take_load, view)
-        self._add(moment, self._try, kind, born, tried, moves)
+        self._timeline.add(moment, self._take_load, view)
+        self._timeline.add(moment, self._try, errand)
 
     def _take_load(self, view):
         room = self._find_room(view)
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -43,6 +43,26 @@
         return self.read()
 
 
+class Timeline:
+    """Actions at set times, played in order on a clock set by hand."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._events = []
+        self._number = itertools.count()
+
+    def add(self, moment, action, *values):
+        """Call action(*values) at a monotonic time in seconds."""
+        heapq.heappush(self._events, (moment, next(self._number), action, values))
+
+    def play(self):
+        """Play until no action is left."""
+        while self._events:
+            moment, _, action, values = heapq.heappop(self._events)
+            self._clock.advance(max(moment - self._clock.read_monotonic(), 0.0))
+            action(*values)
+
+
 class Burst:
     """A burst at one server, whose refused callers come back, on a clock set by hand.
 
@@ -76,8 +96,7 @@
         self._phases = phases
         self._rng = random.Random(SEED)
         self._room = WaitingRoom(clock, SLOTS, phases and phases.read)
-        self._events = []
-        self._number = itertools.count()
+        self._timeline = Timeline(clock)
         self.in_time = 0
         self.served = 0
 
@@ -87,16 +106,10 @@
         for number in range(int(self.SECONDS * self._arrivals_per_second)):
             moment = start + number / self._arrivals_per_second
             key = CallerKey("10.0.0.1", "GET", "a.example", f"/{number}")
-            self._add(moment, self._arrive, key, moment, self.RETURNS)
-        while self._events:
-            moment, _, action, values = heapq.heappop(self._events)
-            self._clock.advance(max(moment - self._clock.read_monotonic(), 0.0))
-            action(*values)
+            self._timeline.add(moment, self._arrive, key, moment, self.RETURNS)
+        self._timeline.play()
         return self
 
-    def _add(self, moment, action, *values):
-        heapq.heappush(self._events, (moment, next(self._number), action, values))
-
     def _arrive(self, key, born, returns):
         waited = self._refused.find_waited(key) if self._refused else 0.0
         deadline = self._clock.read_monotonic() + self.DEADLINE_SECONDS
@@ -114,14 +127,16 @@
         if entrant.started_at is not None:
             slowness = self._phases.read() if self._phases else USUAL
             end = entrant.started_at + self._run_seconds * slowness / USUAL
-            self._add(end, self._end, entrant, born)
+            self._timeline.add(end, self._end, entrant, born)
             return
         self._tell_speed()
         self._room.review(entrant)
         if entrant.refusal is not None:
             self._send_back(key, born, returns)
             return
-        self._add(now + self.LOOK_SECONDS, self._look, entrant, key, born, returns)
+        self._timeline.add(
+            now + self.LOOK_SECONDS, self._look, entrant, key, born, returns
+        )
 
     def _end(self, entrant, born):
         self._room.release(entrant, True)
@@ -135,7 +150,7 @@
             self._refused.note(key, born, now + self.DEADLINE_SECONDS)
         if returns:
             moment = now + self._rng.uniform(0.1, 0.4)
-            self._add(moment, self._arrive, key, born, returns - 1)
+            self._timeline.add(moment, self._arrive, key, born, returns - 1)
 
     def _tell_speed(self):
         if self._phases:
