Let requests move among the servers beside the one that they were sent to

Cause (read in the diff): whether another server was nearby was asked of the entry's own region, also for requests that may not run there; a request bound to the other region was then told to move though nobody could say where to. Change: servers are beside each other in one region, for large bodies in one data centre; a request comes back to those that it left unless one beside them is to be had.

--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -144,7 +144,7 @@
         while True:
             view = self._choose(errand, tried, uncertain)
             tried.add(view.member.address)
-            errand.left.discard(view.member.address)
+            errand.left.pop(view.member.address, None)
             call = self._make_call(errand, request, view.member, body, more)
             try:
                 self._attempt(errand, view, call, source, sink, tried)
@@ -152,7 +152,7 @@
             except RequestError as error:
                 errand.rule.note(error)
                 if error.kind is ErrorKind.SERVER_SLOW:
-                    errand.left.add(errand.server)
+                    errand.left[errand.server] = view.member
                 self._log_attempt(errand, error)
                 if not error.answer.not_run:
                     uncertain = uncertain or error
@@ -182,9 +182,9 @@
         now = self._clock.read_monotonic()
         route, was_refused = errand.route, errand.rule.was_refused
         best = self._placer.choose(views, route, now, tried, was_refused)
-        if errand.left and not self._placer.is_near(best, route):
+        if errand.left and not errand.is_beside_left(best):
             # A slow moment ends sooner than the way to another region pays.
-            tried = tried - errand.left
+            tried = tried - errand.left.keys()
             best = self._placer.choose(views, route, now, tried, was_refused)
         return best
 
@@ -305,14 +305,14 @@
         )
 
     def _may_move(self, errand, member):
-        """Tell whether another server nearby can take a request."""
+        """Tell whether a server beside a Member can take a request in its place."""
         if not errand.rule.may_move:
             return False
         now = self._clock.read_monotonic()
         return any(
             view.member.address != member.address
             and view.is_usable(now)
-            and self._placer.is_near(view, errand.route)
+            and view.member.is_beside(member, errand.route)
             for view in self._roster.list_views(errand.service)
         )
 
--- a/packages/godwitrack_node/src/godwitrack_node/placing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/placing.py
@@ -96,6 +96,15 @@
         names = (name for name in self.__slots__ if name != "version")
         return all(getattr(self, name) == getattr(other, name) for name in names)
 
+    def is_beside(self, other, route):
+        """Tell whether requests of a route can change from another Member to it.
+
+        Large bodies stay in the data centre, others in the region.
+        """
+        if route.is_upload:
+            return self.data_centre == other.data_centre
+        return self.region == other.region
+
 
 class MemberView:
     """What an entry knows of one member's load.
@@ -217,7 +226,7 @@
             route: HostRoute of the request.
             now: Monotonic time in seconds.
             tried: Addresses of members that were tried already.
-            was_refused: Whether one of them refused the request for want of room.
+            was_refused: Whether one of them refused it for want of room, or failed.
         """
         best, least = None, math.inf
         may_make_way = _may_make_way(route)
@@ -236,17 +245,6 @@
                 best, least = view, cost
         return best
 
-    def is_near(self, view, route):
-        """Tell whether a request can change to a MemberView, or None, at little cost.
-
-        Large bodies stay in the data centre, others in the region.
-        """
-        if view is None:
-            return False
-        if route.is_upload:
-            return view.member.data_centre == self._data_centre
-        return view.member.region == self._region
-
     def _find_distance(self, member, route, was_refused):
         if member.data_centre == self._data_centre:
             return 0.0
--- a/packages/godwitrack_node/src/godwitrack_node/repeats.py
+++ b/packages/godwitrack_node/src/godwitrack_node/repeats.py
@@ -50,7 +50,7 @@
 
     @property
     def was_refused(self):
-        """Whether an attempt ended for another reason than a slow moment."""
+        """Whether a server refused it for want of room, or failed."""
         return self.sent + self.refused > 0
 
     @property
--- a/packages/godwitrack_node/src/godwitrack_node/routederrand.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routederrand.py
@@ -19,7 +19,7 @@
         route: HostRoute, or None.
         service: Name of the service that it goes to, or "".
         rule: RepeatRule, or None.
-        left: Addresses of members that it left since they were slow at the moment.
+        left: Members by address that it left since they were slow at the moment.
         server: Address of the member tried last, or "".
         load_age_ms: Age of the load that placed it there, or None.
         status: HTTP status given to the caller, or 0.
@@ -68,7 +68,7 @@
         self.route = None
         self.service = ""
         self.rule = None
-        self.left = set()
+        self.left = {}
         self.server = ""
         self.load_age_ms = None
         self.status = 0
@@ -79,6 +79,12 @@
         """Return the seconds for which the caller has waited since its first try."""
         return self.waited + now - self.received_at
 
+    def is_beside_left(self, view):
+        """Tell whether a MemberView, or None, is beside one of the members left."""
+        return view is not None and any(
+            view.member.is_beside(member, self.route) for member in self.left.values()
+        )
+
     @property
     def attempts(self):
         """Attempts made."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -112,6 +112,22 @@
     assert choose(views, make_route(**values), now=NOW + seconds) == expected
 
 
+@pytest.mark.parametrize(
+    ("data_centre", "region", "is_upload", "expected"),
+    [
+        ("dc-0", "region-0", False, True),
+        ("dc-0", "region-0", True, True),
+        ("dc-1", "region-0", False, True),
+        ("dc-1", "region-0", True, False),
+        ("dc-2", "region-1", False, False),
+    ],
+)
+def test_where_a_request_may_move(data_centre, region, is_upload, expected):
+    member = make_view("near").member
+    other = make_view("other", data_centre, region).member
+    assert other.is_beside(member, make_route(is_upload=is_upload)) is expected
+
+
 def test_the_slower_of_two_equal_servers_is_left():
     views = [make_view("slow"), make_view("fast")]
     views[0].take_load(make_load(5, slowness=500), NOW)
