Close just as many connections as are beyond a lower limit

The count fell after the lock was given back. Change: deciding and counting happen under one lock. The tests' server waits for a signal in place of a time.

--- a/packages/godwitrack_node/src/godwitrack_node/instance.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instance.py
@@ -160,13 +160,12 @@
             self._open -= 1
 
     def _give_back(self, connection, is_reusable):
-        if not is_reusable:
-            self._discard(connection)
-            return
         connection.idle_since = self._clock.read_monotonic()
         with self._lock:
-            is_surplus = self._open > self._limit
-            if not is_surplus:
+            is_kept = is_reusable and self._open <= self._limit
+            if is_kept:
                 self._idle.append(connection)
-        if is_surplus:
-            self._discard(connection)
+            else:
+                self._open -= 1
+        if not is_kept:
+            connection.sock.close()
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from callerstand import wait_for
 from godwitrack.address import Address
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
@@ -16,6 +17,8 @@
 
 RESET = struct.pack("ii", 1, 0)
 WAIT_SECONDS = 5.0
+# Requests at once, as many as the client of a test has connections.
+BUSY = 4
 
 
 def make_answer(body=b"ok", request_id="1", head=b""):
@@ -30,7 +33,7 @@
 class ScriptedServer:
     """Answers each request with the next steps of a script.
 
-    A step is bytes to send, a number of seconds to wait, "close" or "reset".
+    A step is bytes to send, seconds or an Event to wait for, "close" or "reset".
     """
 
     def __init__(self, scripts, drains=True):
@@ -76,6 +79,8 @@
                 elif step == "close":
                     sock.close()
                     return
+                elif isinstance(step, threading.Event):
+                    step.wait(WAIT_SECONDS)
                 else:
                     time.sleep(step)
 
@@ -97,7 +102,7 @@
 
 
 def make_client(server):
-    return InstanceClient(SystemClock(), server.address, 4)
+    return InstanceClient(SystemClock(), server.address, BUSY)
 
 
 UNFRAMED = b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok"
@@ -179,45 +184,53 @@
 
 
 def test_no_more_connections_are_opened_than_the_server_takes():
-    server = ScriptedServer([[0.3, make_answer()], [make_answer(b"two", "2")]])
-    client = make_client(server)
+    client, server, may_answer = make_busy_client()
     client.set_limit(1)
     with concurrent.futures.ThreadPoolExecutor(1) as executor:
         first = executor.submit(send, client, make_request())
-        while not server.heads:
-            time.sleep(0.01)
+        wait_for(lambda: server.heads)
         with pytest.raises(RequestError) as caught:
             send(client, make_request(), "2")
         assert caught.value.kind is ErrorKind.SERVER_BUSY
+        may_answer.set()
         assert first.result().body == b"ok"
     assert server.connections == 1
 
 
-def test_connections_beyond_a_lower_limit_are_closed_when_idle():
-    # A script that is left keeps the server's connections open.
-    server = ScriptedServer([[0.3, make_answer()], [0.3, make_answer()], [5.0]])
-    client = make_client(server)
-    with concurrent.futures.ThreadPoolExecutor(2) as executor:
-        results = [executor.submit(send, client, make_request()) for _ in range(2)]
-        while len(server.heads) < 2:
-            time.sleep(0.01)
-        client.set_limit(1)
-        assert [result.result().body for result in results] == [b"ok", b"ok"]
-    assert client.open_connections == 1
+@pytest.mark.parametrize("limit", [1, 2, 3])
+def test_connections_beyond_a_lower_limit_are_closed_when_idle(limit):
+    """Seen once beside load: all were closed, as two ended at the same moment."""
+    client, server, may_answer = make_busy_client()
+    with concurrent.futures.ThreadPoolExecutor(BUSY) as executor:
+        results = [executor.submit(send, client, make_request()) for _ in range(BUSY)]
+        wait_for(lambda: len(server.heads) == BUSY)
+        client.set_limit(limit)
+        may_answer.set()
+        assert all(result.result().body == b"ok" for result in results)
+    assert client.open_connections == limit
 
 
 def test_idle_connections_beyond_a_lower_limit_are_closed():
-    # A script that is left keeps the server's connections open.
-    server = ScriptedServer([[0.3, make_answer()], [0.3, make_answer()], [5.0]])
-    client = make_client(server)
-    with concurrent.futures.ThreadPoolExecutor(2) as executor:
-        results = [executor.submit(send, client, make_request()) for _ in range(2)]
+    client, server, may_answer = make_busy_client()
+    with concurrent.futures.ThreadPoolExecutor(BUSY) as executor:
+        results = [executor.submit(send, client, make_request()) for _ in range(BUSY)]
+        wait_for(lambda: len(server.heads) == BUSY)
+        may_answer.set()
         assert all(result.result() for result in results)
-    assert client.open_connections == 2
+    assert client.open_connections == BUSY
     client.set_limit(1)
     assert client.open_connections == 1
 
 
+def make_busy_client():
+    """Return a client, a server that waits before each answer, and for what."""
+    may_answer = threading.Event()
+    # A script that is left keeps the server's connections open.
+    scripts = [[may_answer, make_answer()] for _ in range(BUSY)] + [[WAIT_SECONDS]]
+    server = ScriptedServer(scripts)
+    return make_client(server), server, may_answer
+
+
 def test_an_answer_before_the_end_of_a_long_body_ends_its_connection():
     server = ScriptedServer([[make_answer(), 1.0], [make_answer(b"two", "2")]])
     client = make_client(server)
