--- a/soak/soakfleet.py
+++ b/soak/soakfleet.py
@@ -6,9 +6,9 @@
 
 from callerstand import wait_for
 from operatorsrows import make_config, make_route, make_service
-from platformstand import StoreStand
 from soakcallers import CALL_KINDS, CALLERS_PER_NODE, TIMEOUT_SECONDS, SoakCaller
 from soakmachine import Place, SoakMachine
+from storestand import StoreStand
 
 THREADS = 1500
 COLD_RATE = 20.0
--- a/soak/soakmachine.py
+++ b/soak/soakmachine.py
@@ -8,9 +8,10 @@
 import threading
 import time
 
+from appstand import send_report
 from callerstand import ask_ready
 from godwitrack.address import Address
-from platformstand import SETTINGS, send_report
+from platformstand import SETTINGS
 from soakplan import PathName
 from soakproxy import FaultProxy
 from soakserver import SoakServer
--- a/soak/soakserver.py
+++ b/soak/soakserver.py
@@ -2,7 +2,7 @@
 
 import time
 
-from platformstand import AppStand
+from appstand import AppStand
 
 
 class Run:
--- /dev/null
+++ b/tests/httpstand.py
@@ -0,0 +1,33 @@
+"""What all stand-ins that speak HTTP have in common."""
+
+from godwitrack.address import Address
+from godwitrack.exceptions import CallerGone, RequestError
+from godwitrack_node.httpserver import ConnectionServer, HttpConnection
+
+LOCAL = Address("127.0.0.1", 0)
+
+
+class HttpStand:
+    """Serves HTTP in this process; subclasses answer the requests."""
+
+    def __init__(self, executor, address=LOCAL):
+        self._server = ConnectionServer(executor, address, self._serve, 500)
+        host, port = self._server.address
+        self.address = Address(host, port)
+        self._server.start()
+
+    def close(self):
+        self._server.close()
+        self._server.interrupt()
+
+    def _serve(self, sock, remote):
+        connection = HttpConnection(sock)
+        try:
+            while (request := connection.read_request()) is not None:
+                body = b""
+                while part := connection.read_body():
+                    body += part
+                if not self.answer(request, body, connection, sock):
+                    return
+        except (CallerGone, RequestError, OSError):
+            return
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,12 +10,14 @@
 
 import pytest
 
+from appstand import AppStand, send_report
 from callerstand import ask_ready, make_request_headers, send, wait_for
 from godwitrack.address import Address
 from godwitrack_ctl.cmdline import main
 from godwitrack_lab.deployment import find_ports
 from operatorsrows import make_config, make_route, make_service
-from platformstand import SETTINGS, AppStand, StoreStand, send_report
+from platformstand import SETTINGS
+from storestand import StoreStand
 
 ROOT = pathlib.Path(__file__).parents[1]
 
