Make no further attempt for a caller that left

Ruled out: moves from slow servers (none in the trace); the guard, which watches its caller while a request waits or runs. Change: the entry looks whether the caller is still there before it tries again.

--- a/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
+++ b/packages/godwitrack_node/src/godwitrack_node/dispatcher.py
@@ -1,6 +1,6 @@
 """The entry of host routes: takes a caller's request to a backend server and back."""
 
-from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.exceptions import CallerGone, ErrorKind, RequestError
 from godwitrack.logs import find_logger
 from godwitrack.messages import RoutedCall
 from godwitrack_node.attempt import (
@@ -154,6 +154,8 @@
                 if error.kind is ErrorKind.SERVER_SLOW:
                     errand.left[errand.server] = view.member
                 self._log_attempt(errand, error)
+                if source.watch.is_gone():
+                    raise CallerGone("the caller left during an attempt") from None
                 if not error.answer.not_run:
                     uncertain = uncertain or error
                 if self._may_repeat(errand, error, source, sink):
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -7,6 +7,7 @@
 
 from callerstand import Caller, make_request_headers, wait_for
 from godwitrack.exceptions import ErrorKind, LinkTimeout, RequestError
+from godwitrack_node.attempt import Attempt
 from godwitrack_node.httpserver import HttpRequest
 from godwitrack_node.repeats import MAX_MOVES
 from hostedfleet import PLACES, RESOURCES, ask, break_off, list_runs
@@ -74,6 +75,36 @@
     assert app.gone.wait(MAX_LEFT_SECONDS)
 
 
+def test_a_caller_that_left_gets_no_further_attempt(fleet, monkeypatch):
+    """Seen as reads that reached a second server after their callers had left (GONE).
+
+    The first server's VM ended; its node was asked, and callers left meanwhile
+    (trouble-2 of ljusnav-grown, seed 704587084571, 26.7 s).
+    """
+    machine = fleet.machines[0]
+    caller = Caller(machine.settings.callers)
+
+    class LostAttempt(Attempt):
+        def run(self, call, source, sink):
+            caller.close()
+            wait_for(source.watch.is_gone)
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the node is silent")
+
+    entry = machine.find("entry")
+    find = entry._find_attempt
+    attempts = []
+
+    def find_attempt(*values):
+        attempts.append(values)
+        return LostAttempt() if len(attempts) == 1 else find(*values)
+
+    monkeypatch.setattr(entry, "_find_attempt", find_attempt)
+    caller.send("GET", "/read/1", headers=make_request_headers("r1"))
+    wait_for(lambda: attempts and not machine.find("metrics").active)
+    assert len(attempts) == 1
+    assert list_runs(fleet, "r1") == []
+
+
 def test_a_write_whose_outcome_is_unknown_is_not_sent_again(fleet):
     for machine in fleet.machines:
         machine.app.behave = break_off
