Say how old a node's routes are in its log and metrics, for a report of late changes

Neither log nor metrics could tell a follower of a cut-off leader from a slow link, as none said how old the content was. Added: age_ms of 'source failed', routes_age_ms of godwitrack_state. No change of logic.

--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -36,6 +36,12 @@
             return None
         return max(self._clock.read_monotonic() - self._confirmed_at, 0.0)
 
+    @property
+    def age_ms(self):
+        """The age in whole milliseconds, or -1 if the store never confirmed any."""
+        age = self.age
+        return -1 if age is None else int(age * 1000)
+
     def find(self, key):
         """Return the FeedRow with a key, or None if there is none."""
         return self._rows.get(key)
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -231,4 +231,5 @@
             table=table.name,
             source=address or "store",
             error=str(error),
+            age_ms=self._replicas[table].age_ms,
         )
--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -7,6 +7,7 @@
 import bisect
 import threading
 
+from godwitrack.feed import FeedTable
 from godwitrack_node.activerequests import ActiveRequests
 from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.hostports import PortHandler
@@ -145,12 +146,16 @@
         guard = self._kernel.find("guard")
         routes = self._kernel.find("configurations")
         registration = self._kernel.find("registration")
+        operators_replica = self._kernel.find("membership").get_replica(
+            FeedTable.OPERATORS
+        )
         return {
             "in_flight": guard.admission.in_flight,
             "queued": guard.admission.queued,
             "limit": guard.admission.limit,
             "ledger_entries": len(guard.ledger),
             "revision": routes.table.revision if routes.is_ready else 0,
+            "routes_age_ms": operators_replica.age_ms,
             "members": len(self._kernel.find("member-table").list_members()),
             "links_opened": self._kernel.find("link-pool").opened,
             "serving": int(registration.is_serving),
