Keep the rate limit that a backend server names at its guard (LIMIT)

Cause: nothing read the header. Ruled out: that entries learn of it too late (arrivals never fall); that only restarted guards break it (first reports come 4 s before the restart). The latter is a fault of its own, which a test shows: a report opened a new guard before it had heard the limit. Change: the guard, which sees all arrivals, counts starts in a token bucket of one second of the rate, empty at first, so that restarts add nothing. It takes the limit from answers that prove to be the server's own, and opens after a start only once a health answer came. What can't start in its time is refused on arrival; load reports tell entries the used share. Why it works: any 4 s hold at most five times the rate; the bound is six times and five.

--- a/packages/godwitrack_node/src/godwitrack_node/hostedadmission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedadmission.py
@@ -12,6 +12,7 @@
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack_node.homedemand import HomeDemand
 from godwitrack_node.limits import REDUCED_SHARE, LimitFinder
+from godwitrack_node.requestrate import RequestRateLimiter
 from godwitrack_node.speed import SpeedGauge
 from godwitrack_node.warmuprate import WarmupRateLimiter
 
@@ -48,6 +49,7 @@
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._cold_rate = None
         self._rate_limiter = WarmupRateLimiter()
+        self._stated_rate = RequestRateLimiter()
         self._limit_finder = LimitFinder()
         self._home_demand = HomeDemand()
 
@@ -74,15 +76,16 @@
     def count_effective_in_flight(self):
         """Return the used part of `limit`, as a number of requests.
 
-        A cold server may have idle slots although its rate limit allows no further
-        request now, so the used share of that rate counts, too. Entries compare this
-        number with `limit` when they choose a server.
+        A server may have idle slots although a rate limit allows no further request
+        now, so the used share of that rate counts, too. Entries compare this number
+        with `limit` when they choose a server.
         """
         with self._lock:
-            if self._cold_rate is None:
-                return self._running
             now = self._clock.read_monotonic()
-            use = self._rate_limiter.compute_used_share(self._cold_rate, now)
+            use = self._stated_rate.compute_used_share(now)
+            if self._cold_rate is not None:
+                cold_use = self._rate_limiter.compute_used_share(self._cold_rate, now)
+                use = max(use, cold_use)
             return max(self._running, round(use * self.limit))
 
     def count_home_demand(self):
@@ -104,6 +107,22 @@
             decided = self._start_waiting()
         _wake(decided)
 
+    @property
+    def rate_limit(self):
+        """Requests a second that the backend server takes, or None for no limit."""
+        return self._stated_rate.rate
+
+    def set_rate_limit(self, rate):
+        """Set the rate limit that the backend server names for itself.
+
+        Args:
+            rate: Most requests a second, or None if it names none.
+        """
+        with self._lock:
+            self._stated_rate.set_rate(rate, self._clock.read_monotonic())
+            decided = self._start_waiting()
+        _wake(decided)
+
     def hold_cold_starts(self, until):
         """Start no request before a given time if the backend server is cold.
 
@@ -261,12 +280,13 @@
             wait = max(
                 wait, self._rate_limiter.compute_wait(self._cold_rate, ahead, now)
             )
+        wait = max(wait, self._stated_rate.compute_wait(ahead, now))
         if now + wait > request.wait_until:
             self._home_demand.record_refusal(request, now)
             raise RequestError(ErrorKind.SERVER_BUSY)
 
     def _has_capacity(self, now):
-        if self._running >= self.limit:
+        if self._running >= self.limit or not self._stated_rate.allows(now):
             return False
         return self._cold_rate is None or self._rate_limiter.allows(
             self._cold_rate, now
@@ -299,6 +319,7 @@
         request.running_at_start = self._running
         self._running += 1
         self._rate_limiter.record_start(request)
+        self._stated_rate.record_start(now)
 
     def _start_waiting(self):
         """Start or refuse waiting requests in order; returns all that were decided."""
--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -118,7 +118,9 @@
         headers = self._protocol.make_health_headers()
         request = InstanceRequest("GET", path, headers, b"", 0, None, True)
         answer = self._client.send(request, lambda _: True, deadline)
-        return self._protocol.read_health(answer)
+        health = self._protocol.read_health(answer)
+        self._apply_condition(health.condition, health.instance)
+        return health
 
     def _measure_slowness(self):
         """Return the slowness that a health check reports, or None."""
@@ -216,7 +218,7 @@
             call.idempotent,
         )
         try:
-            return self._client.send(
+            answer = self._client.send(
                 request,
                 lambda item: self._protocol.belongs_to(item, call.caller_id),
                 deadline + DEADLINE_MARGIN_SECONDS,
@@ -225,6 +227,20 @@
         except RequestError as error:
             self._report_failure(error)
             raise
+        self._apply_condition(self._protocol.read_condition(answer), instance)
+        return answer
+
+    def _apply_condition(self, condition, instance):
+        """Apply a ServerCondition that the process `instance` stated, or None."""
+        if condition is None:
+            return
+        if self._registration.instance in ("", instance):
+            self._apply_rate_limit(condition.rate_limit)
+
+    def _apply_rate_limit(self, rate):
+        if rate != self.admission.rate_limit:
+            self._log.info("rate limit named", requests_per_second=rate)
+            self.admission.set_rate_limit(rate)
 
     def _record_answer_slowness(self, answer):
         """Record the slowness that an answer reports and return it, or None."""
--- a/packages/godwitrack_node/src/godwitrack_node/protocol.py
+++ b/packages/godwitrack_node/src/godwitrack_node/protocol.py
@@ -78,6 +78,10 @@
     def read_slowness(self, answer):
         """Return the current run time in percent of the usual one, or None."""
 
+    @abc.abstractmethod
+    def read_condition(self, answer):
+        """Return the ServerCondition that an HttpAnswer states, or None if unknown."""
+
     @abc.abstractmethod
     def make_health_headers(self):
         """Return the headers of a health check, as pairs of texts."""
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -90,6 +90,9 @@
         self._cold_until = 0.0
         self._last_contact_at = None
         self._checked_at = CHECK_DUE_NOW
+        # Until the first answer to a health check, a limit that the server named to an
+        # earlier process of this node is not known.
+        self._was_checked = False
         self._is_stopping = False
         self._rng = random.Random()
         self._is_cold_hold_decided = False
@@ -160,7 +163,7 @@
             )
             self.instance, self._is_leaving = report.instance, report.is_leaving
         self._decide_cold_hold()
-        if is_new_process:
+        if is_new_process and self._was_checked:
             self.is_blocked = False
         if is_new_process or changed:
             self._signal_change("report", sequence=report.sequence)
@@ -306,6 +309,10 @@
                 self.block(f"health check: {error}")
             self._check_silence(now)
             return
+        if not self._was_checked:
+            self._was_checked = True
+            # A report that came before this answer may say better how the server is.
+            self.is_blocked = self._born < 0
         self._apply_health(health, now)
 
     def _apply_health(self, health, now):
--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -153,6 +153,7 @@
             "in_flight": guard.admission.in_flight,
             "queued": guard.admission.queued,
             "limit": guard.admission.limit,
+            "rate_limited": int(guard.admission.rate_limit is not None),
             "ledger_entries": len(guard.ledger),
             "revision": routes.table.revision if routes.is_ready else 0,
             "routes_age_ms": operators_replica.age_ms,
--- a/packages/godwitrack_node/src/godwitrack_node/serverreports.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverreports.py
@@ -39,10 +39,25 @@
         self.cold_seconds = cold
 
 
+class ServerCondition:
+    """What a backend server states of itself in each of its answers.
+
+    Attributes:
+        rate_limit: Requests a second that it takes from all nodes together, or None if
+            it names no limit.
+    """
+
+    __slots__ = ("rate_limit",)
+
+    def __init__(self, rate_limit):
+        self.rate_limit = rate_limit
+
+
 class Health:
     """Answer of the backend server to a health check.
 
     Attributes:
+        condition: ServerCondition, or None if the answer names no process.
         instance: Id of its process, or "" if not reported.
         is_healthy: Whether it accepts requests.
         cold_seconds: Seconds until its cold start is over, or None if not reported.
@@ -51,9 +66,19 @@
         slots: Number of requests that it runs at once, or 0 if not reported.
     """
 
-    __slots__ = ("cold_seconds", "instance", "is_healthy", "slots", "slowness")
+    __slots__ = (
+        "cold_seconds",
+        "condition",
+        "instance",
+        "is_healthy",
+        "slots",
+        "slowness",
+    )
 
-    def __init__(self, instance, is_healthy, cold_seconds, slowness, slots):
+    def __init__(
+        self, instance, is_healthy, cold_seconds, slowness, slots, condition=None
+    ):
+        self.condition = condition
         self.slots = slots
         self.instance = instance
         self.is_healthy = is_healthy
--- a/tests/fakebackend.py
+++ b/tests/fakebackend.py
@@ -25,6 +25,8 @@
         seconds: Service time of each request in seconds.
         runs: Id and monotonic time in seconds of each request that it ran.
         headers: Headers of each request that it ran.
+        answer_headers: Headers that it adds to each answer of a run, as pairs.
+        health_headers: Headers that it adds to each health answer, as pairs.
         caller_gone: Event, set when a caller disconnects during a request.
         behave: Function that replaces the usual answer, or None; takes a request id,
             a connection and its socket and returns whether the connection stays open.
@@ -41,6 +43,8 @@
         self.seconds = 0.0
         self.runs = []
         self.headers = []
+        self.answer_headers = []
+        self.health_headers = []
         self.caller_gone = threading.Event()
         self.behave = None
         super().__init__(executor, address)
@@ -51,6 +55,7 @@
                 ("Godwitrack-Instance-Id", self.instance),
                 ("Godwitrack-Server-Load", f"0,0,{self.slots},100"),
                 ("Godwitrack-Warmup-Remaining-Ms", str(int(self.cold_seconds * 1000))),
+                *self.health_headers,
             ]
             connection.start_answer(200 if self.is_healthy else 503, headers, 0)
             return True
@@ -81,6 +86,7 @@
                 ("Godwitrack-Request-Id", request_id),
                 ("Godwitrack-Server-Signature", "signed"),
                 ("Godwitrack-Server-Load", f"1,0,{self.slots},100"),
+                *self.answer_headers,
             ],
             len(answer),
             answer,
--- a/tests/test_hostedservers.py
+++ b/tests/test_hostedservers.py
@@ -194,3 +194,28 @@
     assert len(machine.app.runs) == served
     # The next node process starts its count of requests to a cold server at zero.
     assert GUARD_OPEN_SECONDS + COLD_WINDOW_SECONDS <= NOTICE_SECONDS
+
+
+RATE = 4.0
+
+
+def test_a_restarted_node_keeps_the_limit_that_its_server_names(fleet):
+    """Guards against a burst before the first answer names the limit again (LIMIT).
+
+    A report that arrives before the first health check must not open the guard.
+    """
+    machine = fleet.machines[1]
+    app = machine.app
+    app.answer_headers = app.health_headers = [("Server-Limit", str(RATE))]
+    machine.kill()
+    app.runs.clear()
+    machine.start()
+    machine.report()
+    started = time.monotonic()
+    wait_for(machine.is_ready)
+    ask_often(fleet.machines, "r", 60)
+    elapsed = time.monotonic() - started
+    assert len(app.runs) <= RATE * elapsed + RATE
+    app.answer_headers = app.health_headers = []
+    wait_for(lambda: machine.find("guard").admission.rate_limit is None)
+    wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "after").status == 200)
