Close the guard when an answer says that the backend server leaves (DRAIN by header)

Cause: nothing read the header. A guard closed only on a report or a deregistration, and a node that started again beside a leaving server opened on its next report. Evidence: two tests, both failing before: requests ran after such an answer, and after a restart. Change: an answer or a health answer that says so marks the process as gone for good, as a deregistration does; a late report that it is ready has no effect. A gone process is told from its successor under the same id by its reported start, where that is known, not by the time of day of the node, which may be set back. Why it works: all requests of all nodes pass this guard, so none reaches the server later.

--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -236,6 +236,8 @@
             return
         if self._registration.instance in ("", instance):
             self._apply_rate_limit(condition.rate_limit)
+        if condition.is_leaving:
+            self._registration.record_leaving(instance)
 
     def _apply_rate_limit(self, rate):
         if rate != self.admission.rate_limit:
--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -174,13 +174,20 @@
 
     def apply_leave(self, instance):
         """Record that a process of the backend server leaves for good."""
-        with self._lock:
-            self._left_at_ms[instance] = self._clock.read_wall() * 1000
-            if instance != self.instance and self.instance:
-                return
-            self.instance, self._is_leaving = instance, True
-        self._signal_change("leave")
-        self._wait_for_row()
+        if self._mark_left(instance):
+            self._signal_change("leave")
+            self._wait_for_row()
+
+    def record_leaving(self, instance):
+        """Record that a process of the backend server said that it leaves for good.
+
+        A report that it is ready may arrive later and has no effect.
+        """
+        is_known = instance in self._left_at_ms and (
+            instance != self.instance or self._is_leaving
+        )
+        if not is_known and self._mark_left(instance):
+            self._signal_change("leaving answer")
 
     def suspect(self, reason):
         """Treat the backend server as cold and request a health check.
@@ -205,6 +212,18 @@
         self._is_stopping = True
         self._signal_change("stop")
 
+    def _mark_left(self, instance):
+        """Mark a process as gone for good; return whether it was the present one."""
+        with self._lock:
+            is_present = instance == self.instance or not self.instance
+            is_born_known = instance == self.instance and self._born >= 0
+            self._left_at_ms[instance] = (
+                self._born if is_born_known else self._clock.read_wall() * 1000
+            )
+            if is_present:
+                self.instance, self._is_leaving = instance, True
+            return is_present
+
     def _has_left(self, report):
         """Return whether the process of a report has left for good.
 
--- a/packages/godwitrack_node/src/godwitrack_node/serverreports.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverreports.py
@@ -45,12 +45,14 @@
     Attributes:
         rate_limit: Requests a second that it takes from all nodes together, or None if
             it names no limit.
+        is_leaving: Whether it leaves service for good.
     """
 
-    __slots__ = ("rate_limit",)
+    __slots__ = ("is_leaving", "rate_limit")
 
-    def __init__(self, rate_limit):
+    def __init__(self, rate_limit, is_leaving):
         self.rate_limit = rate_limit
+        self.is_leaving = is_leaving
 
 
 class Health:
--- a/tests/test_hostedservers.py
+++ b/tests/test_hostedservers.py
@@ -196,6 +196,47 @@
     assert GUARD_OPEN_SECONDS + COLD_WINDOW_SECONDS <= NOTICE_SECONDS
 
 
+LEAVING = ("Server-Leaving", "1")
+
+
+def test_a_server_whose_answers_say_that_it_leaves_gets_no_more_requests(fleet):
+    """Guards against requests until a report of the leaving server arrives (DRAIN)."""
+    machine = fleet.machines[1]
+    machine.app.answer_headers = [LEAVING]
+    assert ask(fleet.machines[0], "/lamp/1", "last").status == 200
+    # A late report of the same process, sent before it began to leave.
+    assert machine.report() == 200
+    runs = len(machine.app.runs)
+    for number in range(5):
+        assert ask(fleet.machines[0], "/lamp/1", f"r{number}").status == 503
+    assert len(machine.app.runs) == runs
+
+
+def test_a_restarted_node_learns_from_a_health_check_that_its_server_leaves(fleet):
+    machine = fleet.machines[1]
+    machine.app.health_headers = [LEAVING]
+    machine.kill()
+    machine.app.runs.clear()
+    machine.start()
+    wait_for(machine.is_ready)
+    assert machine.report() == 200
+    for number in range(5):
+        assert ask(fleet.machines[0], "/lamp/1", f"r{number}").status == 503
+    assert not machine.app.runs
+
+
+def test_a_process_that_starts_after_one_that_left_gets_requests(fleet):
+    """Its id may be the same, and its clock may have been stepped back."""
+    machine = fleet.machines[1]
+    assert machine.report() == 200
+    machine.app.answer_headers = [LEAVING]
+    assert ask(fleet.machines[0], "/lamp/1", "last").status == 200
+    machine.app.answer_headers = []
+    machine.app.born += 1
+    machine.app.sequence = 0
+    wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "r2").status == 200)
+
+
 RATE = 4.0
 
 
