--- a/packages/godwitrack/src/godwitrack/link.py
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -22,6 +22,7 @@
     MessageError,
 )
 from godwitrack.messages import decode_message
+from godwitrack.numbers import parse_whole_number
 from godwitrack.watch import Watch, has_input, wait_readable
 
 MAX_FRAME_BYTES = 4 * 2**20
@@ -212,7 +213,7 @@
     def check_proof(self, proof):
         """Return whether a proof is correctly signed, recent and not yet used."""
         parts = proof.split(".")
-        if len(parts) != 3 or not parts[0].isdigit():
+        if len(parts) != 3 or parse_whole_number(parts[0]) is None:
             return False
         timestamp, nonce, signature = parts
         expected = self._sign("open", timestamp, nonce)
@@ -269,7 +270,8 @@
         sock = socket.create_connection((host, int(port)), timeout)
     except TimeoutError as error:
         raise LinkTimeout(f"{address}: {error}") from None
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # A port out of range is an OverflowError.
         raise LinkError(f"{address}: {error}") from None
     tune_link_socket(sock)
     protocol = ClientProtocol(
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -2,6 +2,7 @@
 
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.messages import Call
+from godwitrack.numbers import parse_whole_number
 from godwitrack_node.attempt import LocalAttempt, RemoteAttempt
 from godwitrack_node.bodystreams import CallerSink, CallerSource, read_first_part
 from godwitrack_node.callhandler import CallHandler
@@ -348,11 +349,12 @@
         text = request.get(DEADLINE_HEADER.lower())
         if not text:
             return self._default_deadline
-        if not text.isdigit() or int(text) == 0:
+        deadline_ms = parse_whole_number(text)
+        if not deadline_ms:
             raise RequestError(
                 ErrorKind.BAD_REQUEST, f"{DEADLINE_HEADER} is no number of ms"
             )
-        return min(int(text) / 1000.0, self._max_deadline)
+        return min(deadline_ms / 1000.0, self._max_deadline)
 
 
 def _split_target(target):
--- a/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
@@ -5,6 +5,7 @@
 import httptools
 
 from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.numbers import parse_whole_number
 from godwitrack.watch import has_input, wait_readable
 from godwitrack_node.answer import HttpAnswer
 
@@ -246,6 +247,7 @@
     """Return the seconds for which the connection may stay idle."""
     for item in answer.get("keep-alive").split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return max(int(value) - IDLE_MARGIN_SECONDS, 0.0)
+        seconds = parse_whole_number(value.strip())
+        if name.lower() == "timeout" and seconds is not None:
+            return max(seconds - IDLE_MARGIN_SECONDS, 0.0)
     return DEFAULT_MAX_IDLE_SECONDS
--- a/packages/godwitrack_node/src/godwitrack_node/membertable.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membertable.py
@@ -2,11 +2,15 @@
 
 import cbor2
 
+from godwitrack.address import Address
 from godwitrack.feed import FeedTable
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
 from godwitrack_node.hostedrouting import Member, MemberView
 
+# More than any server has; larger numbers are another writer's mistake.
+MAX_SLOTS = 100_000
+MAX_INCARNATION = 2**63 - 1
 MEMBER_FIELD_TYPES = (str, str, str, int, bool, str, int)
 
 
@@ -94,4 +98,18 @@
         for v, expected in zip(data, MEMBER_FIELD_TYPES, strict=True)
     ):
         return None
-    return Member(row.key, *data, row.version)
+    member = Member(row.key, *data, row.version)
+    return member if _is_usable(member) else None
+
+
+def _is_usable(member):
+    """Return whether a Member has an address to connect to and possible numbers."""
+    try:
+        address = Address.parse(member.address)
+    except ValueError:
+        return False
+    return (
+        address.port > 0
+        and 0 < member.slots <= MAX_SLOTS
+        and 0 <= member.incarnation <= MAX_INCARNATION
+    )
