--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -90,6 +90,9 @@
         self._cold_until = 0.0
         self._last_contact_at = None
         self._checked_at = CHECK_DUE_NOW
+        # Until the first answer to a health check, a limit that the server named to an
+        # earlier process of this node is not known.
+        self._was_checked = False
         self._is_stopping = False
         self._rng = random.Random()
         self._is_cold_hold_decided = False
@@ -160,7 +163,7 @@
             )
             self.instance, self._is_leaving = report.instance, report.is_leaving
         self._decide_cold_hold()
-        if is_new_process:
+        if is_new_process and self._was_checked:
             self.is_blocked = False
         if is_new_process or changed:
             self._signal_change("report", sequence=report.sequence)
@@ -171,13 +174,20 @@
 
     def apply_leave(self, instance):
         """Record that a process of the backend server leaves for good."""
-        with self._lock:
-            self._left_at_ms[instance] = self._clock.read_wall() * 1000
-            if instance != self.instance and self.instance:
-                return
-            self.instance, self._is_leaving = instance, True
-        self._signal_change("leave")
-        self._wait_for_row()
+        if self._mark_left(instance):
+            self._signal_change("leave")
+            self._wait_for_row()
+
+    def record_leaving(self, instance):
+        """Record that a process of the backend server said that it leaves for good.
+
+        A report that it is ready may arrive later and has no effect.
+        """
+        is_known = instance in self._left_at_ms and (
+            instance != self.instance or self._is_leaving
+        )
+        if not is_known and self._mark_left(instance):
+            self._signal_change("leaving answer")
 
     def suspect(self, reason):
         """Treat the backend server as cold and request a health check.
@@ -202,6 +212,18 @@
         self._is_stopping = True
         self._signal_change("stop")
 
+    def _mark_left(self, instance):
+        """Mark a process as gone for good; return whether it was the present one."""
+        with self._lock:
+            is_present = instance == self.instance or not self.instance
+            is_born_known = instance == self.instance and self._born >= 0
+            self._left_at_ms[instance] = (
+                self._born if is_born_known else self._clock.read_wall() * 1000
+            )
+            if is_present:
+                self.instance, self._is_leaving = instance, True
+            return is_present
+
     def _has_left(self, report):
         """Return whether the process of a report has left for good.
 
@@ -306,6 +328,10 @@
                 self.block(f"health check: {error}")
             self._check_silence(now)
             return
+        if not self._was_checked:
+            self._was_checked = True
+            # A report that came before this answer may say better how the server is.
+            self.is_blocked = self._born < 0
         self._apply_health(health, now)
 
     def _apply_health(self, health, now):
