Give up on answers without end before they fill the memory of a node

What callers saw: nothing yet; the users' pages say that bytes which are no answer may come without end, in a head or a body, until the caller closes. Could it happen here: yes. Change: the bodies that are being read share one budget of 64 MiB, and all else in an exchange is bounded by 256 KiB and eight bytes for each byte of body. What exceeds this is an unknown outcome, and its connection is closed. The parser has a module of its own. Tests: test_instance.py, eleven kinds of endless answers, and four at once within the budget.

--- a/packages/godwitrack_node/src/godwitrack_node/instance.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instance.py
@@ -8,6 +8,7 @@
 import threading
 
 from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_node.answerreader import AnswerBudget
 from godwitrack_node.backendrequest import BackendRequest
 from godwitrack_node.instanceexchange import InstanceConnection, InstanceExchange
 
@@ -64,19 +65,25 @@
         self._lock = threading.Lock()
         self._idle = []
         self._open_count = 0
+        self._budget = AnswerBudget()
 
     @property
     def open_connections(self):
         """Number of connections, in use or idle."""
         return self._open_count
 
+    @property
+    def held_bytes(self):
+        """Bytes of the bodies of answers that are being read."""
+        return self._budget.used_bytes
+
     def send(self, request, is_own_answer, deadline, watch=None):
         """Send a request and return its answer.
 
         Args:
             request: InstanceRequest.
-            is_own_answer: Function of an HttpAnswer that returns whether it belongs
-                to the request; other answers are skipped.
+            is_own_answer: Function as in InstanceExchange.run; other answers are
+                skipped.
             deadline: Monotonic time of the clock, in seconds.
             watch: Watch of the caller's connection, or None.
 
@@ -90,7 +97,7 @@
         is_reusable = False
         try:
             exchange = InstanceExchange(
-                connection, self._clock, request, deadline, watch
+                connection, self._clock, request, deadline, watch, self._budget
             )
             answer = exchange.run(is_own_answer)
             is_reusable = exchange.is_reusable
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -12,7 +12,9 @@
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.watch import Watch
+from godwitrack_node.answerreader import MAX_BODY_BYTES
 from godwitrack_node.instance import InstanceClient, InstanceRequest
+from godwitrack_node.instanceexchange import RECEIVE_BYTES
 from testcaller import wait_for
 
 RESET = struct.pack("ii", 1, 0)
@@ -33,7 +35,8 @@
 class ScriptedServer:
     """Answers each request with the next steps of a script.
 
-    A step is bytes to send, seconds or an Event to wait for, "close" or "reset".
+    A step is bytes to send, a list of bytes to send again and again until the client
+    closes, seconds or an Event to wait for, "close" or "reset".
     """
 
     def __init__(self, scripts, drains=True):
@@ -43,6 +46,7 @@
         self.address = Address("127.0.0.1", self._socket.getsockname()[1])
         self.heads = []
         self.connections = 0
+        self.closed = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -72,6 +76,9 @@
             for step in self._scripts.pop(0):
                 if isinstance(step, bytes):
                     sock.sendall(step)
+                elif isinstance(step, list):
+                    self._send_without_end(sock, step[0])
+                    return
                 elif step == "reset":
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                     sock.close()
@@ -84,6 +91,13 @@
                 else:
                     time.sleep(step)
 
+    def _send_without_end(self, sock, data):
+        try:
+            while True:
+                sock.sendall(data)
+        except OSError:
+            self.closed.set()
+
 
 def make_request(body=b"", read_more=None, length=None, idempotent=True, method="GET"):
     length = len(body) if length is None else length
@@ -286,3 +300,53 @@
     near.recv(1)
     far.close()
     assert Watch(near).is_disconnected()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nId: 1\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "header": [HEAD + b"X: ", [b"a" * 65536]],
+    "headers": [HEAD, [b"A: b\r\n" * 1000]],
+    "status line": [b"HTTP/1.1 200 ", [b"a" * 65536]],
+    "informational answers": [[b"HTTP/1.1 100 Continue\r\n\r\n" * 100]],
+    "answers to others": [[make_answer(b"other", "0") * 100]],
+    "empty lines": [[b"\r\n" * 1000]],
+    "body": [HEAD + b"\r\n", [b"a" * 65536]],
+    "chunks": [CHUNKED_HEAD, [b"1\r\na\r\n" * 1000]],
+    "large chunks": [CHUNKED_HEAD, [b"10000\r\n" + b"a" * 65536 + b"\r\n"]],
+    "chunk extension": [CHUNKED_HEAD + b"1;", [b"a" * 65536]],
+    "trailers": [CHUNKED_HEAD + b"0\r\n", [b"A: b\r\n" * 1000]],
+}
+
+
+@pytest.mark.parametrize("script", ENDLESS_ANSWERS.values(), ids=ENDLESS_ANSWERS)
+def test_bytes_without_end_are_given_up_before_they_fill_the_memory(script):
+    """Guards against a server that sends until its caller closes."""
+    server = ScriptedServer([script, [make_answer(b"two", "2")]])
+    client = make_client(server)
+    with pytest.raises(RequestError) as caught:
+        send(client, make_request(), seconds=20.0)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert server.closed.wait(WAIT_SECONDS)
+    assert client.open_connections == client.held_bytes == 0
+    assert send(client, make_request(), "2").body == b"two"
+
+
+def test_answers_without_end_share_one_budget():
+    """Guards against many such answers at once that exceed a node's memory."""
+    script = ENDLESS_ANSWERS["body"]
+    server = ScriptedServer([script] * CONNECTIONS + [[make_answer()]])
+    client = make_client(server)
+    most = 0
+    with concurrent.futures.ThreadPoolExecutor(CONNECTIONS) as executor:
+        results = [
+            executor.submit(send, client, make_request(), seconds=20.0)
+            for _ in range(CONNECTIONS)
+        ]
+        while not all(result.done() for result in results):
+            most = max(most, client.held_bytes)
+            time.sleep(0.001)
+    assert all(type(result.exception()) is RequestError for result in results)
+    # Each exchange notices the end of the budget at its next receive.
+    assert 0 < most <= MAX_BODY_BYTES + CONNECTIONS * RECEIVE_BYTES
+    assert client.held_bytes == 0
