--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -117,7 +117,9 @@
         path = limits.health_path if limits is not None else "/health"
         headers = self._protocol.make_health_headers()
         request = InstanceRequest("GET", path, headers, b"", 0, None, True)
-        answer = self._client.send(request, lambda _: True, deadline)
+        answer = self._client.send(
+            request, lambda item, _: self._protocol.is_health_answer(item), deadline
+        )
         health = self._protocol.read_health(answer)
         self._apply_condition(health.condition, health.instance)
         return health
@@ -220,7 +222,9 @@
         try:
             answer = self._client.send(
                 request,
-                lambda item: self._protocol.belongs_to(item, call.caller_id),
+                lambda item, is_first: self._protocol.belongs_to(
+                    item, call.caller_id, is_first
+                ),
                 deadline + DEADLINE_MARGIN_SECONDS,
                 source.watch,
             )
--- a/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
@@ -21,12 +21,14 @@
         sock: Non-blocking socket.
         idle_since: Monotonic time at which it returned to the pool, in seconds.
         max_idle_seconds: Seconds for which it may stay idle.
+        is_used: Whether a request was sent on it before the present one.
     """
 
-    __slots__ = ("idle_since", "max_idle_seconds", "sock")
+    __slots__ = ("idle_since", "is_used", "max_idle_seconds", "sock")
 
     def __init__(self, sock):
         self.sock = sock
+        self.is_used = False
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_MAX_IDLE_SECONDS
 
@@ -57,24 +59,28 @@
         """Send the request and return its HttpAnswer.
 
         Args:
-            is_own_answer: Function of an HttpAnswer that returns whether it belongs
-                to the request.
+            is_own_answer: Function that returns whether an answer belongs to the
+                request, of the HttpAnswer and whether no earlier request can have
+                caused it.
 
         Raises:
             RequestError: TIMEOUT or OUTCOME_UNKNOWN.
             CallerDisconnected: The caller left.
         """
+        is_first = not self._connection.is_used
+        self._connection.is_used = True
         try:
             self._send()
             while True:
                 answer = self._read_answer()
                 if answer.status in INFORMATIONAL_STATUSES:
                     continue
-                if is_own_answer(answer):
+                if is_own_answer(answer, is_first):
                     self._prepare_reuse(answer)
                     return answer
                 # This answers an earlier request; the expected answer may follow.
                 self._reader.must_close = True
+                is_first = False
         finally:
             self._reader.close()
 
--- a/packages/godwitrack_node/src/godwitrack_node/protocol.py
+++ b/packages/godwitrack_node/src/godwitrack_node/protocol.py
@@ -59,8 +59,18 @@
         """
 
     @abc.abstractmethod
-    def belongs_to(self, answer, caller_id):
-        """Return whether an HttpAnswer belongs to the request with this id."""
+    def belongs_to(self, answer, caller_id, is_first):
+        """Return whether an HttpAnswer belongs to the request with this id.
+
+        Args:
+            answer: HttpAnswer.
+            caller_id: Id of the request.
+            is_first: Whether no earlier request can have caused the answer.
+        """
+
+    @abc.abstractmethod
+    def is_health_answer(self, answer):
+        """Return whether an HttpAnswer can answer a health check."""
 
     @abc.abstractmethod
     def is_not_run(self, answer):
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -12,9 +12,11 @@
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.watch import Watch
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.answerreader import MAX_BODY_BYTES
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 from godwitrack_node.instanceexchange import RECEIVE_BYTES
+from godwitrack_platform.protocols import REQUEST_ID_HEADER, PlatformServerProtocol
 from testcaller import wait_for
 
 RESET = struct.pack("ii", 1, 0)
@@ -107,7 +109,7 @@
 
 
 def make_id_check(request_id):
-    return lambda answer: answer.get("id", "-") == request_id
+    return lambda answer, is_first: answer.get("id", "-") == request_id
 
 
 def send(client, request, request_id="1", seconds=WAIT_SECONDS, watch=None):
@@ -350,3 +352,32 @@
     # Each exchange notices the end of the budget at its next receive.
     assert 0 < most <= MAX_BODY_BYTES + CONNECTIONS * RECEIVE_BYTES
     assert client.held_bytes == 0
+
+
+REFUSAL = b"HTTP/1.1 503 Busy\r\n%bNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("repeated", [REFUSAL % b"", REFUSAL % b"Id: 1\r\n"])
+def test_a_refusal_that_is_written_once_more_refuses_no_other_request(repeated):
+    """Guards against 'not run' for a request that the server is running (REFUSED)."""
+    answer = [repeated, 0.1, make_answer(b"two", "2")]
+    server = ScriptedServer([[REFUSAL % b"Id: 1\r\n"], answer])
+    client = make_client(server)
+    protocol = PlatformServerProtocol()
+
+    def send_as(request_id):
+        def is_own(found, is_first):
+            headers = [
+                (REQUEST_ID_HEADER if name == "Id" else name, value)
+                for name, value in found.headers
+            ]
+            found = HttpAnswer(found.status, headers, found.body)
+            return protocol.belongs_to(found, request_id, is_first)
+
+        deadline = SystemClock().read_monotonic() + WAIT_SECONDS
+        return client.send(make_request(idempotent=False), is_own, deadline)
+
+    assert send_as("1").status == 503
+    assert send_as("2").body == b"two"
+    assert server.connections == 1
+    assert client.open_connections == 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -199,7 +199,11 @@
     named = {f"Godwitrack_{name}": value for name, value in headers.items()}
     answer = make_answer(status, **named)
     protocol = PlatformServerProtocol()
-    assert protocol.belongs_to(answer, "1") is belongs
+    assert protocol.belongs_to(answer, "1", True) is belongs
+    # On a kept connection, an answer without an id may repeat an earlier one.
+    has_id = "Request_Id" in headers
+    assert protocol.belongs_to(answer, "1", False) is (belongs and has_id)
+    assert protocol.is_health_answer(answer) is not has_id
     assert protocol.is_not_run(answer) is is_not_run
     assert is_not_run or protocol.is_forwardable(answer) is forwardable
 
