Take impossible slots of a health answer as not reported

Cause: a node adopted any number of slots from a health answer, and every node, itself included, now ignores a row with more than 100,000; so it would write its row again and again. Test: test_oddentries.py, the last one, failed before.

--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -14,7 +14,7 @@
 from godwitrack.numbers import parse_whole_number
 from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.feedfreshness import MAX_PEER_WAIT_SECONDS, PEER_MARGIN_SECONDS
-from godwitrack_node.membertable import decode_member
+from godwitrack_node.membertable import MAX_SLOTS, decode_member
 from godwitrack_platform.protocols import PlatformServerProtocol
 from hostedfleet import ask
 from operatorsrows import make_config, make_route
@@ -135,3 +135,12 @@
     health = PlatformServerProtocol().read_health(answer)
     assert health.slots == (number or 0)
     assert health.condition.rate_limit == number
+
+
+@pytest.mark.parametrize(
+    ("slots", "read"), [(18, 18), (MAX_SLOTS, MAX_SLOTS), (10**12, 0)]
+)
+def test_impossible_slots_of_a_health_answer_count_as_not_reported(slots, read):
+    """A row with more slots would be written again and again, as none accepts it."""
+    headers = [["godwitrack-server-load", f"0,0,{slots},100"]]
+    assert PlatformServerProtocol().read_health(HttpAnswer(200, headers)).slots == read
