Move the writing of the node's row out of the registration

registration.py had 419 lines and two jobs: the state of the backend server and its row. The row has a class and a module of its own now; log events keep their texts and their component. No change of behaviour: the tests of hosted nodes, feeds, soak and explanations pass unchanged.

--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -1,15 +1,13 @@
 """Registration of the backend server: tracks its state and publishes it as a row."""
 
-import random
 import threading
 
-from godwitrack.exceptions import RequestError, StoreError
-from godwitrack.feed import FeedTable, RowConflict
+from godwitrack.exceptions import RequestError
+from godwitrack.feed import FeedTable
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
-from godwitrack_node.backoff import FIRST_PAUSE_SECONDS, MAX_PAUSE_SECONDS, Backoff
 from godwitrack_node.hostedrouting import Member
-from godwitrack_node.membertable import decode_member, encode_member
+from godwitrack_node.memberrow import MemberRow
 from godwitrack_node.warmuprate import COLD_WINDOW_SECONDS
 
 # Health checks are billed, and reports and answers show most changes sooner.
@@ -23,8 +21,6 @@
 # Stands for a last check so long ago that the next one is due at once.
 CHECK_DUE_NOW = 0.0
 MAX_MISSED_REPORTS = 3
-# A report must be acknowledged within one second, even if its row is not yet written.
-ROW_WAIT_SECONDS = 0.6
 # Added to the remaining warm-up time that a server states, which is out of date by the
 # transit time of its message.
 COLD_MARGIN_SECONDS = 0.2
@@ -69,17 +65,14 @@
         """
         self._clock = clock
         self._executor = executor
-        self._store = store
         self._identity = identity
         self._own_address = own_address
         self._address = str(address)
         self._silence_timeout = MAX_MISSED_REPORTS * report_seconds
         self._cold_tolerance = cold_tolerance
         self._lock = threading.Lock()
-        self._write_requested = threading.Event()
-        self._row_changed = threading.Condition()
+        self._row = MemberRow(executor, store, own_address, self._make_member)
         self._stopped = threading.Event()
-        self._replica = None
         self._routes = None
         self._guard = None
         self._born = -1
@@ -94,7 +87,6 @@
         # earlier process of this node is not known.
         self._was_checked = False
         self._is_stopping = False
-        self._rng = random.Random()
         self._is_cold_hold_decided = False
         self._log = get_logger("registration")
         self.instance = ""
@@ -103,8 +95,10 @@
     def connect(self, kernel):
         """Find the collaborators."""
         feed_sync = kernel.find("membership")
-        self._replica = feed_sync.get_replica(FeedTable.FLEET)
-        feed_sync.add_listener(FeedTable.FLEET, self._check_row)
+        self._row.connect(feed_sync.get_replica(FeedTable.FLEET))
+        # The hold is decided by the row of the last process, before it is written over.
+        feed_sync.add_listener(FeedTable.FLEET, self._decide_cold_hold)
+        feed_sync.add_listener(FeedTable.FLEET, self._row.check)
         self._routes = kernel.find("configurations")
         self._routes.add_listener(self._block_if_brought_back)
         self._guard = kernel.find("guard")
@@ -114,12 +108,12 @@
         now = self._clock.read_monotonic()
         self._guard.admission.hold_cold_starts(now + COLD_WINDOW_SECONDS)
         self._executor.submit(self._watch)
-        self._executor.submit(self._write_rows)
+        self._row.start()
 
     def stop(self):
         """Stop checking the backend server and writing the row."""
         self._stopped.set()
-        self._write_requested.set()
+        self._row.stop()
 
     @property
     def is_serving(self):
@@ -168,7 +162,7 @@
         if is_new_process or changed:
             self._signal_change("report", sequence=report.sequence)
             if report.is_leaving:
-                self._wait_for_row()
+                self._row.wait_until_current()
         self._guard.configure(self._slots, self.compute_cold_rate())
         return True
 
@@ -176,7 +170,7 @@
         """Record that a process of the backend server leaves for good."""
         if self._mark_left(instance):
             self._signal_change("leave")
-            self._wait_for_row()
+            self._row.wait_until_current()
 
     def record_leaving(self, instance):
         """Record that a process of the backend server said that it leaves for good.
@@ -245,25 +239,13 @@
             cold_rate=self.compute_cold_rate(),
             **values,
         )
-        self._write_requested.set()
+        self._row.request_write()
 
     def _block_if_brought_back(self, before, after):
         own = self._identity.data_centre
         if own in before and own not in after:
             self.block("data centre is back")
 
-    def _wait_for_row(self):
-        """Wait briefly until the row is written, so that a restarted node finds it."""
-        with self._row_changed:
-            self._row_changed.wait_for(self._is_row_current, ROW_WAIT_SECONDS)
-
-    def _is_row_current(self):
-        row = self._replica.find(self._own_address)
-        if self._is_stopping or row is None:
-            return self._is_stopping and row is None
-        stored = decode_member(row)
-        return stored is not None and stored.has_same_values(self._make_member())
-
     def _decide_cold_hold(self):
         """End the hold on a cold server if the last node process used another one.
 
@@ -273,22 +255,17 @@
         process was stopped, and perhaps killed before its stop was over; then the hold
         stays.
         """
-        if self._is_cold_hold_decided or not self.instance or self._replica.version < 0:
+        if self._is_cold_hold_decided or not self.instance or not self._row.is_known:
             return
         self._is_cold_hold_decided = True
-        row = self._replica.find(self._own_address)
-        stored = decode_member(row) if row is not None else None
+        stored = self._row.find_stored()
         if stored is not None and stored.instance != self.instance:
             self._guard.admission.hold_cold_starts(0.0)
 
-    def _check_row(self):
-        self._decide_cold_hold()
-        with self._row_changed:
-            self._row_changed.notify_all()
-        if not self._is_row_current():
-            self._write_requested.set()
-
     def _make_member(self):
+        """Return the Member that the row should hold, as MemberRow asks for it."""
+        if self._is_stopping:
+            return None
         return Member(
             self._own_address,
             self._identity.service,
@@ -358,8 +335,7 @@
     def _adopt(self, health):
         """Adopt a healthy process without waiting for its next report."""
         instance = health.instance
-        row = self._replica.find(self._own_address)
-        stored = decode_member(row) if row is not None else None
+        stored = self._row.find_stored()
         if stored is not None and stored.instance == instance and not stored.is_serving:
             # The process began to leave before the node was restarted.
             return
@@ -374,46 +350,3 @@
         if now - self._last_contact_at > self._silence_timeout:
             self.instance = ""
             self._signal_change("silent")
-
-    def _write_rows(self):
-        backoff = Backoff(self._rng)
-        while True:
-            self._write_requested.wait()
-            if self._stopped.is_set():
-                return
-            self._write_requested.clear()
-            if self._replica.version < 0 or self._is_row_current() or not self.instance:
-                self._stopped.wait(FIRST_PAUSE_SECONDS)
-                if self._replica.version < 0:
-                    self._write_requested.set()
-                continue
-            try:
-                self._write_row()
-                backoff.reset()
-            except StoreError as error:
-                self._log.info("row not written", error=str(error))
-                self._stopped.wait(backoff.draw())
-                self._write_requested.set()
-            except Exception:
-                self._log.exception("row not written")
-                self._stopped.wait(MAX_PAUSE_SECONDS)
-                self._write_requested.set()
-
-    def _write_row(self):
-        row = self._replica.find(self._own_address)
-        value = None if self._is_stopping else encode_member(self._make_member())
-        expected = row.version if row is not None else 0
-        try:
-            version = self._store.write_row(
-                FeedTable.FLEET, self._own_address, value, expected
-            )
-        except RowConflict as conflict:
-            stored = conflict.row.value if conflict.row is not None else None
-            # An earlier write may have taken effect already: its answer was lost, or
-            # the replica is behind.
-            if stored != value:
-                raise
-            version = conflict.row.version if conflict.row is not None else 0
-        self._log.info("row written", version=version, serving=self.is_serving)
-        with self._row_changed:
-            self._row_changed.notify_all()
