--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -14,6 +14,7 @@
 from godwitrack_node.hostedadmissionrequest import LATE_SHARE
 from godwitrack_node.hostedentryrequest import HostedEntryRequest
 from godwitrack_node.hostedretries import HostedRetryRule, is_refusal
+from godwitrack_node.reachability import ReachabilityChecks
 from godwitrack_node.refusedcallers import CallerKey, RefusedCallers
 from godwitrack_node.retryafter import RetryAfterChooser
 from godwitrack_node.splitting import SplitChooser
@@ -29,7 +30,6 @@
 QUERY_TIMEOUT_SECONDS = 0.5
 # A server that refuses requests until its next health check has it within this time.
 REFUSAL_PAUSE_SECONDS = 0.3
-PROBE_INTERVAL_SECONDS = 0.25
 UNAVAILABLE_KINDS = frozenset((ErrorKind.STOPPING, ErrorKind.STALE_INCARNATION))
 
 
@@ -48,7 +48,7 @@
             retry_budget: HostedRetryBudget.
         """
         self._clock = clock
-        self._executor = executor
+        self._reachability = ReachabilityChecks(clock, executor)
         self._identity = identity
         self._protocol = protocol
         self._chooser = chooser
@@ -74,7 +74,7 @@
         self._guard = kernel.find("guard")
         self._feed_sync = kernel.find("membership")
         self._own_address = kernel.find("link-server").advertised
-        kernel.find("scheduler").add(PROBE_INTERVAL_SECONDS, self._probe_unreachable)
+        self._reachability.connect(kernel)
 
     @property
     def limits(self):
@@ -260,12 +260,12 @@
         """Update the view of a member whose attempt failed."""
         now = self._clock.read_monotonic()
         if isinstance(error, NoTimeToConnect):
-            self._start_reachability_check(view)
+            self._reachability.start_check(view)
         elif error.kind in UNAVAILABLE_KINDS:
             view.mark_unavailable(now)
         elif error.kind is ErrorKind.NOT_READY:
             view.mark_unavailable(now, REFUSAL_PAUSE_SECONDS)
-            self._start_reachability_check(view)
+            self._reachability.start_check(view)
         elif isinstance(error, RefusedByNode) or self._is_own(view):
             if error.kind is ErrorKind.BACKEND_UNREACHABLE:
                 view.mark_unavailable(now, REFUSAL_PAUSE_SECONDS)
@@ -357,36 +357,6 @@
             for view in self._member_table.list_views(entry_request.service)
         )
 
-    def _probe_unreachable(self):
-        """Start a probe of each unreachable node whose pause is over."""
-        now = self._clock.read_monotonic()
-        for member in self._member_table.list_members():
-            view = self._member_table.get_view(member.address)
-            if view is not None and view.is_probe_due(now):
-                view.mark_down(now)
-                self._executor.submit(self._probe, view)
-
-    def _start_reachability_check(self, view):
-        """Start to check whether a node can be reached, unless a check is running.
-
-        The link is kept for later requests. The check also gives the node this
-        node's address, so that a node without routes can request them from here.
-        """
-        if not view.is_being_checked:
-            view.is_being_checked = True
-            self._executor.submit(self._check_reachability, view)
-
-    def _check_reachability(self, view):
-        try:
-            if not self._feed_sync.can_reach(view.member.address):
-                view.mark_down(self._clock.read_monotonic())
-        finally:
-            view.is_being_checked = False
-
-    def _probe(self, view):
-        if self._feed_sync.can_reach(view.member.address):
-            view.mark_up()
-
     def _log_attempt(self, entry_request, error):
         self._log.info(
             "attempt failed",
