Keep a late report from reopening an adopted process that left (DRAIN)

Change: the reported start counts only for the process that reported it. Test: test_hostedservers.py, a late report after a deregistration; failed before.

--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -77,6 +77,7 @@
         self._guard = None
         self._born = -1
         self._sequence = -1
+        self._reported_instance = ""
         self._slots = 1
         self._is_leaving = False
         self._left_at_ms = {}
@@ -148,6 +149,7 @@
                 return False
             is_new_process = report.born > self._born
             self._born, self._sequence = report.born, report.sequence
+            self._reported_instance = report.instance
             self._last_contact_at = self._clock.read_monotonic()
             self._slots = report.slots
             self._set_cold(report.cold_seconds)
@@ -210,7 +212,8 @@
         """Mark a process as gone for good; return whether it was the present one."""
         with self._lock:
             is_present = instance == self.instance or not self.instance
-            is_born_known = instance == self.instance and self._born >= 0
+            # The start of a process that was only adopted is not known.
+            is_born_known = instance == self.instance == self._reported_instance
             self._left_at_ms[instance] = (
                 self._born if is_born_known else self._clock.read_wall() * 1000
             )
--- a/tests/test_hostedservers.py
+++ b/tests/test_hostedservers.py
@@ -6,8 +6,10 @@
 import pytest
 
 from fakeplatform import FLEET
+from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.hostednode import GUARD_OPEN_SECONDS, NOTICE_SECONDS
 from godwitrack_node.warmuprate import COLD_WINDOW_SECONDS
+from godwitrack_platform.protocols import PlatformServerProtocol
 from hostedfleet import ask, list_runs
 from testcaller import Caller, make_request_headers, wait_for
 
@@ -237,6 +239,32 @@
     wait_for(lambda: ask(fleet.machines[0], "/lamp/1", "r2").status == 200)
 
 
+def test_a_late_report_reopens_no_adopted_process_that_left(fleet):
+    """Guards against taking the start of an earlier process for that of this one."""
+    machine = fleet.machines[1]
+    registration = machine.find("registration")
+    assert machine.report() == 200
+    machine.app.is_healthy = False
+    # Its process fell silent, and the next one is known by its health answers only.
+    registration.instance = ""
+    machine.app.instance, machine.app.sequence = "i-next", 0
+    machine.app.born += 1
+    health = PlatformServerProtocol().read_health(
+        HttpAnswer(
+            200,
+            [
+                ["godwitrack-instance-id", "i-next"],
+                ["godwitrack-server-load", "0,0,10,100"],
+            ],
+        )
+    )
+    registration._apply_health(health, time.monotonic())
+    assert registration.instance == "i-next"
+    assert machine.leave() == 200
+    assert machine.report() == 200
+    assert not registration.is_serving
+
+
 RATE = 4.0
 
 
