Count what a body in tiny chunks really takes, and spare small answers

And one endless body at the limit failed every other answer. Change: a body is one buffer, as many bytes of framing as of body are allowed, and bodies up to 256 KiB are read although others have used up the budget.

--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -9,10 +9,12 @@
 
 # Bodies of all answers that are being read; a part of the memory that a node may use.
 MAX_BODY_BYTES = 64 * 2**20
+# A body of this size is read even if others have used up the budget.
+MIN_BODY_BYTES = 256 * 1024
 # Heads, trailers and informational answers of one exchange.
 MAX_HEAD_BYTES = 256 * 1024
-# Bytes of framing for each byte of a body that is sent in chunks of one byte, and more.
-MAX_CHUNK_OVERHEAD = 8
+# Bytes of framing for each byte of a body that is sent in chunks.
+MAX_CHUNK_OVERHEAD = 1
 
 
 class AnswerBudget:
@@ -84,7 +86,8 @@
         except httptools.HttpParserError as error:
             self._fail(f"the answer is not HTTP: {error}")
         self._received_bytes += len(data)
-        if not self._budget.reserve(self._body_bytes - held_bytes):
+        fits = self._budget.reserve(self._body_bytes - held_bytes)
+        if not fits and self._body_bytes > MIN_BODY_BYTES:
             self._fail("the bodies of the answers are too large")
         other_bytes = self._received_bytes - self._body_bytes
         if other_bytes > MAX_HEAD_BYTES + MAX_CHUNK_OVERHEAD * self._body_bytes:
@@ -124,7 +127,7 @@
 
     def on_body(self, body):
         """Record a part of the body; called by the parser."""
-        self._body_parts.append(body)
+        self._body += body
         self._body_bytes += len(body)
 
     def on_message_complete(self):
@@ -139,13 +142,12 @@
     def _reset(self):
         self._status = 0
         self._headers = []
-        self._body_parts = []
+        self._body = bytearray()
         self._has_head = False
         self._is_framed = False
 
     def _complete(self):
-        body = b"".join(self._body_parts)
-        self._answers.append(HttpAnswer(self._status, self._headers, body))
+        self._answers.append(HttpAnswer(self._status, self._headers, bytes(self._body)))
         self._reset()
 
     def _fail(self, detail):
