--- a/packages/godwitrack_node/src/godwitrack_node/hostedadmission.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedadmission.py
@@ -48,8 +48,8 @@
         self._slots = slots
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._cold_rate = None
-        self._rate_limiter = WarmupRateLimiter()
-        self._stated_rate = RequestRateLimiter()
+        self._warmup_limiter = WarmupRateLimiter()
+        self._request_limiter = RequestRateLimiter()
         self._limit_finder = LimitFinder()
         self._home_demand = HomeDemand()
 
@@ -82,9 +82,9 @@
         """
         with self._lock:
             now = self._clock.read_monotonic()
-            use = self._stated_rate.compute_used_share(now)
+            use = self._request_limiter.compute_used_share(now)
             if self._cold_rate is not None:
-                cold_use = self._rate_limiter.compute_used_share(self._cold_rate, now)
+                cold_use = self._warmup_limiter.compute_used_share(self._cold_rate, now)
                 use = max(use, cold_use)
             return max(self._running, round(use * self.limit))
 
@@ -110,7 +110,7 @@
     @property
     def rate_limit(self):
         """Requests a second that the backend server takes, or None for no limit."""
-        return self._stated_rate.rate
+        return self._request_limiter.rate
 
     def set_rate_limit(self, rate):
         """Set the rate limit that the backend server names for itself.
@@ -119,7 +119,7 @@
             rate: Most requests a second, or None if it names none.
         """
         with self._lock:
-            self._stated_rate.set_rate(rate, self._clock.read_monotonic())
+            self._request_limiter.set_rate(rate, self._clock.read_monotonic())
             decided = self._start_waiting()
         _wake(decided)
 
@@ -130,7 +130,7 @@
             until: Monotonic time in seconds; a past time ends the hold at once.
         """
         with self._lock:
-            self._rate_limiter.hold(until)
+            self._warmup_limiter.hold(until)
 
     def close(self, kind):
         """Refuse all waiting requests, which did not run.
@@ -278,17 +278,17 @@
         wait = (ahead + 1) * self._service_seconds / self.limit
         if self._cold_rate is not None:
             wait = max(
-                wait, self._rate_limiter.compute_wait(self._cold_rate, ahead, now)
+                wait, self._warmup_limiter.compute_wait(self._cold_rate, ahead, now)
             )
-        wait = max(wait, self._stated_rate.compute_wait(ahead, now))
+        wait = max(wait, self._request_limiter.compute_wait(ahead, now))
         if now + wait > request.wait_until:
             self._home_demand.record_refusal(request, now)
             raise RequestError(ErrorKind.SERVER_BUSY)
 
     def _has_capacity(self, now):
-        if self._running >= self.limit or not self._stated_rate.allows(now):
+        if self._running >= self.limit or not self._request_limiter.allows(now):
             return False
-        return self._cold_rate is None or self._rate_limiter.allows(
+        return self._cold_rate is None or self._warmup_limiter.allows(
             self._cold_rate, now
         )
 
@@ -318,8 +318,8 @@
         request.started_at = now
         request.running_at_start = self._running
         self._running += 1
-        self._rate_limiter.record_start(request)
-        self._stated_rate.record_start(now)
+        self._warmup_limiter.record_start(request)
+        self._request_limiter.record_start(now)
 
     def _start_waiting(self):
         """Start or refuse waiting requests in order; returns all that were decided."""
