--- a/tests/test_feedfreshness.py
+++ b/tests/test_feedfreshness.py
@@ -24,18 +24,12 @@
 OLD_VERSION, NEW_VERSION = 5, 6
 
 
-class FakeLeader:
-    """A leader that got its last answer of the store when the test began.
-
-    Args:
-        is_frozen: Whether it answers nothing at all.
-    """
+class FakePeer:
+    """A pool of links to one node, which answers at once with a page of one age."""
 
-    def __init__(self, clock, is_frozen):
-        self._clock = clock
-        self._started_at = clock.read_monotonic()
-        self._is_frozen = is_frozen
-        self._wait_ms = 0
+    def __init__(self, version, age):
+        self._version = version
+        self._age = age
 
     def acquire(self, address, timeout):
         return self
@@ -47,40 +41,42 @@
         pass
 
     def send(self, request, timeout):
-        self._wait_ms = request.wait_ms
+        pass
 
     def receive(self, timeout):
-        if self._is_frozen or self._wait_ms / 1000 > timeout:
-            self._clock.advance(timeout)
-            raise LinkTimeout("nothing arrived in time")
-        self._clock.advance(self._wait_ms / 1000)
-        age_ms = int((self._clock.read_monotonic() - self._started_at) * 1000)
-        packed = pack_list([])
-        return FeedAnswer(int(FeedTable.OPERATORS), packed, OLD_VERSION, False, age_ms)
-
-
-class FakePeer:
-    """A node that answers at once with a page of one version and age."""
-
-    def __init__(self, version, age):
-        self._answer = FeedAnswer(
-            int(FeedTable.OPERATORS), pack_list([]), version, False, int(age * 1000)
+        return FeedAnswer(
+            int(FeedTable.OPERATORS),
+            pack_list([]),
+            self._version,
+            False,
+            int(self._age * 1000),
         )
 
-    def acquire(self, address, timeout):
-        return self
 
-    def release(self, link):
-        pass
+class FakeLeader(FakePeer):
+    """A leader that got its last answer of the store when the test began.
 
-    def abort(self):
-        pass
+    Args:
+        is_frozen: Whether it answers nothing at all.
+    """
+
+    def __init__(self, clock, is_frozen):
+        super().__init__(OLD_VERSION, 0.0)
+        self._clock = clock
+        self._started_at = clock.read_monotonic()
+        self._is_frozen = is_frozen
+        self._wait_ms = 0
 
     def send(self, request, timeout):
-        pass
+        self._wait_ms = request.wait_ms
 
     def receive(self, timeout):
-        return self._answer
+        if self._is_frozen or self._wait_ms / 1000 > timeout:
+            self._clock.advance(timeout)
+            raise LinkTimeout("nothing arrived in time")
+        self._clock.advance(self._wait_ms / 1000)
+        self._age = self._clock.read_monotonic() - self._started_at
+        return super().receive(timeout)
 
 
 class FakeStore:
