--- a/review/standins.py
+++ b/review/standins.py
@@ -299,11 +299,19 @@
         runs: (seconds, request id) of each request that it began to work on.
         is_leaving: Whether it has said that it leaves.
         cold_until: Seconds of the record until which it is cold.
+        work_ends: Mapping from request id to the seconds at which its work ended.
         is_gone: Whether it has ended.
     """
 
     def __init__(
-        self, record, machine, name, work_seconds, capacity=13, answer_bytes=0
+        self,
+        record,
+        machine,
+        name,
+        work_seconds,
+        capacity=13,
+        clock_ahead=0.0,
+        answer_bytes=0,
     ):
         self._record = record
         self._machine = machine
@@ -311,7 +319,7 @@
         self._work_seconds = work_seconds
         self._capacity = capacity
         self._padding = b"." * answer_bytes
-        self._born = int(time.time() * 1000)
+        self._born = int((time.time() + clock_ahead) * 1000)
         self._sequence = 0
         self._running = 0
         self._server = None
@@ -321,6 +329,7 @@
         self.is_leaving = False
         self.is_gone = False
         self.beats = True
+        self.work_ends = {}
         self.cold_until = 0.0
         self.on_run = None
 
@@ -393,9 +402,18 @@
         try:
             while True:
                 head, _ = await read_message(reader)
-                keep = await self._answer(head, writer)
+                # A request is dropped when its connection closes.
+                answer = asyncio.ensure_future(self._answer(head, writer))
+                end = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait({answer, end}, return_when="FIRST_COMPLETED")
+                is_dropped = not answer.done()
+                for task in (answer, end):
+                    task.cancel()
+                await asyncio.wait({answer, end})
+                if is_dropped:
+                    return
                 await writer.drain()
-                if not keep:
+                if not answer.result():
                     return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -444,6 +462,8 @@
             await asyncio.sleep(self._work_seconds * slowdown)
         finally:
             self._running -= 1
+            self.work_ends[request_id] = self._record.now()
+            self._record.write(f"work on {request_id} ends at {self.name}")
 
 
 class Machine:
@@ -535,6 +555,8 @@
         ended_at: Seconds of the record of its end.
         status: Status of the complete answer, or 0 if the connection ended before.
         has_head: Whether the head of an answer came.
+        left_at: Seconds of the record at which the consumer closed the connection
+            without having got an answer, or None.
     """
 
     def __init__(self, request_id, sent_at, machine):
@@ -544,6 +566,7 @@
         self.ended_at = None
         self.status = 0
         self.has_head = False
+        self.left_at = None
 
 
 class Consumers:
@@ -562,10 +585,10 @@
         self._tasks = set()
         self.calls = []
 
-    async def run(self, rate, until):
+    async def run(self, rate, until, draw_patience=lambda: None):
         """Send requests at a rate a second until a time of the record."""
         while self._record.now() < until:
-            task = asyncio.ensure_future(self.send())
+            task = asyncio.ensure_future(self.send(draw_patience()))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(random.uniform(0.5, 1.5) / rate)
@@ -577,15 +600,23 @@
         for _, writer in self._idle:
             writer.close()
 
-    async def send(self):
-        """Send one request; return its Call."""
+    async def send(self, patience=None):
+        """Send one request; return its Call.
+
+        Args:
+            patience: Seconds after which the consumer closes the connection, or None
+                if it waits for as long as it said.
+        """
         request_id = f"{next(self._ids):06x}{random.getrandbits(40):010x}"
         call = Call(request_id, self._record.now(), self._machine)
         self.calls.append(call)
         self._record.write(f"sent {request_id} to {self._machine.name}")
         try:
-            await asyncio.wait_for(self._exchange(call), self._timeout + 1.0)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            timeout = self._timeout + 1.0 if patience is None else patience
+            await asyncio.wait_for(self._exchange(call), timeout)
+        except TimeoutError:
+            call.left_at = self._record.now()
+        except (OSError, asyncio.IncompleteReadError):
             pass
         call.ended_at = self._record.now()
         what = call.status or ("a part" if call.has_head else "nothing")
