--- a/review/standins.py
+++ b/review/standins.py
@@ -770,6 +770,9 @@
     """
 
     async def main():
+        # A terminated run ends its nodes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(case_folder)
         try:
             await deployment.start_store()
@@ -779,7 +782,7 @@
 
     try:
         has_held = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         sys.exit(2)
     if has_held is None:
