--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -91,6 +91,31 @@
         """
 
 
+class HttpResponse:
+    """The response to one HTTP request.
+
+    Attributes:
+        status: HTTP status code.
+        body: Bytes of the body.
+    """
+
+    __slots__ = ("_header_lines", "body", "status")
+
+    def __init__(self, status, body, header_lines):
+        self.status = status
+        self.body = body
+        self._header_lines = header_lines
+
+    def get(self, name):
+        """Return the value of the last header with a name in lower case, or ""."""
+        value = ""
+        for line in self._header_lines:
+            found, _, text = line.decode("latin-1").partition(":")
+            if found.strip().lower() == name:
+                value = text.strip()
+        return value
+
+
 class HttpClient:
     """Sends HTTP requests; each thread reuses its own libcurl handle."""
 
@@ -104,7 +129,7 @@
         self._local = threading.local()
 
     def fetch(self, method, url, body=None, headers=(), timeout=None):
-        """Send a request and return the status and body of the response.
+        """Send a request and return the HttpResponse.
 
         Args:
             method: HTTP method.
@@ -135,13 +160,15 @@
         handle.setopt(pycurl.HTTPHEADER, ["Expect:", *headers])
         if body is not None:
             handle.setopt(pycurl.POSTFIELDS, body)
-        response_body = io.BytesIO()
+        response_body, header_lines = io.BytesIO(), []
         handle.setopt(pycurl.WRITEDATA, response_body)
+        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
         try:
             handle.perform()
         except pycurl.error as error:
             raise StoreError(f"{method} {url}: {error.args[1]}") from None
-        return handle.getinfo(pycurl.RESPONSE_CODE), response_body.getvalue()
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        return HttpResponse(status, response_body.getvalue(), header_lines)
 
 
 class HttpTableService(TableService):
@@ -170,9 +197,10 @@
 
     def _fetch(self, method, url, body=None):
         data = None if body is None else json.dumps(body).encode()
-        status, answer = self._client.fetch(method, url, data)
+        response = self._client.fetch(method, url, data)
+        status = response.status
         try:
-            parsed = json.loads(answer)
+            parsed = json.loads(response.body)
         except ValueError:
             raise StoreError(f"{method} {url}: status {status}, not JSON") from None
         if status == 409:
@@ -192,16 +220,16 @@
     def read_object(self, name):
         """Return an object's bytes, or None if it does not exist."""
         url = f"{self._url}/objects/{quote(name, safe='')}"
-        status, body = self._client.fetch("GET", url)
-        if status == 404:
+        response = self._client.fetch("GET", url)
+        if response.status == 404:
             return None
-        if status != 200:
-            raise StoreError(f"GET {url}: status {status}")
-        return body
+        if response.status != 200:
+            raise StoreError(f"GET {url}: status {response.status}")
+        return response.body
 
     def write_object(self, name, body):
         """Write a whole object."""
         url = f"{self._url}/objects/{quote(name, safe='')}"
-        status, _ = self._client.fetch("PUT", url, body)
-        if status != 200:
-            raise StoreError(f"PUT {url}: status {status}")
+        response = self._client.fetch("PUT", url, body)
+        if response.status != 200:
+            raise StoreError(f"PUT {url}: status {response.status}")
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/client.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/client.py
@@ -63,9 +63,10 @@
 
     def _fetch(self, method, path, body):
         headers = [f"Authorization: Bearer {self._token}"]
-        status, answer = self._client.fetch(method, self._url + path, body, headers)
+        response = self._client.fetch(method, self._url + path, body, headers)
+        status = response.status
         try:
-            data = json.loads(answer)
+            data = json.loads(response.body)
         except ValueError:
             raise StoreError(f"{self._url}{path}: status {status}, not JSON") from None
         if status != 200:
--- a/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/backendserver.py
@@ -189,12 +189,12 @@
     """
     body = json.dumps({"service": service, "state": state, "slots": slots}).encode()
     try:
-        status, _ = HttpClient(timeout).fetch(
+        response = HttpClient(timeout).fetch(
             "POST", f"http://{operators}/announcement", body
         )
     except StoreError:
         return False
-    return status == 200
+    return response.status == 200
 
 
 def main(arguments):
--- a/packages/godwitrack_lab/src/godwitrack_lab/processes.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/processes.py
@@ -174,8 +174,8 @@
 
     def read_platform_counts(self):
         """Return the numbers of calls that the fake platform served and refused."""
-        _, body = HttpClient(5.0).fetch("GET", f"{self.platform_url}/counts")
-        return json.loads(body)
+        response = HttpClient(5.0).fetch("GET", f"{self.platform_url}/counts")
+        return json.loads(response.body)
 
     def set_backend_behaviour(self, name, **behaviour):
         """Set fields of a fake backend server's Behaviour."""
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -225,7 +225,7 @@
         try:
             return self._store_source.read(table, after, times)
         except HistoryLost:
-            self._log.info("history lost", table=table.name)
+            self._log.info("history lost", table=table.name, after=after)
             return self._store_source.read(table, -1, times)
 
     def _read_peer(self, table, address, after, times):
@@ -236,8 +236,24 @@
         # A fetch after a hint may merge at the same time. Listeners run under the lock,
         # so that a slow one cannot put older rows in force after newer ones.
         with self._merge_locks[table]:
-            if not self._replicas[table].merge(page):
+            replica = self._replicas[table]
+            if page.version < replica.version:
+                self._log.info(
+                    "older page not used",
+                    table=table.name,
+                    page_version=page.version,
+                    version=replica.version,
+                    is_whole=page.is_whole,
+                )
+            if not replica.merge(page):
                 return False
+            self._log.info(
+                "table changed",
+                table=table.name,
+                version=page.version,
+                rows=len(page.rows),
+                is_whole=page.is_whole,
+            )
             for listener in self._listeners[table]:
                 listener()
         return True
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -184,5 +184,5 @@
 
 def fetch_json(address, path):
     """Return the JSON that an operators' port serves at a path."""
-    _, body = HttpClient(5.0).fetch("GET", f"http://{address}{path}")
-    return json.loads(body)
+    response = HttpClient(5.0).fetch("GET", f"http://{address}{path}")
+    return json.loads(response.body)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -220,8 +220,8 @@
     address = str(member.settings.get("listen.operators"))
     call(member.callers, "GET", "/scenbok/scenes/1")
     assert fetch_json(address, "/readyz") == {"ready": True}
-    _, body = HttpClient(5.0).fetch("GET", f"http://{address}/metrics")
-    text = body.decode()
+    response = HttpClient(5.0).fetch("GET", f"http://{address}/metrics")
+    text = response.body.decode()
     assert 'godwitrack_request_seconds_bucket{class="interactive"' in text
     assert 'customer="brand-ask"' in text
     assert 'godwitrack_state{name="revision"}' in text
@@ -229,8 +229,8 @@
 
 def test_orders_without_the_token_are_refused(cluster):
     address = str(cluster.members[0].settings.get("listen.operators"))
-    status, _ = HttpClient(5.0).fetch("POST", f"http://{address}/orders", b"{}")
-    assert status == 401
+    response = HttpClient(5.0).fetch("POST", f"http://{address}/orders", b"{}")
+    assert response.status == 401
 
 
 @pytest.mark.parametrize(
