--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -8,11 +8,27 @@
 from fakehttp import FakeHttpServer
 
 
+class StoreCopy:
+    """The content of a FakeStore at one moment, from which it can be restored.
+
+    Attributes:
+        rows: Mapping from (table, key) to the encoded value and its version.
+        log: List of (table, row) for each change.
+        version: Version of the newest change.
+    """
+
+    def __init__(self, rows, log, version):
+        self.rows = rows
+        self.log = log
+        self.version = version
+
+
 class FakeStore(FakeHttpServer):
     """Serves the store's HTTP API from memory.
 
     Attributes:
         calls: Number of requests received.
+        era: Number that rises by one each time the store is restored.
         is_away: Whether it answers every request with status 503.
         loses_answers: Whether it applies transactions but closes the connection
             instead of answering.
@@ -25,15 +41,15 @@
         self._version = 0
         self._oldest_version = 0
         self.calls = 0
+        self.era = 1
         self.is_away = False
         self.loses_answers = False
         super().__init__(executor)
 
     def put(self, table, key, value):
         """Write one row; a value other than bytes is stored as JSON."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self._changed:
-            self._apply_changes([(table, key, base64.b64encode(data).decode())])
+            self._apply_changes([(table, key, _encode_value(value))])
 
     def remove(self, table, key):
         with self._changed:
@@ -45,6 +61,27 @@
             self._log.clear()
             self._oldest_version = self._version
 
+    def copy(self):
+        """Return a StoreCopy of the present content."""
+        with self._changed:
+            return StoreCopy(dict(self._rows), list(self._log), self._version)
+
+    def restore(self, copy, rewritten=()):
+        """Go back to a StoreCopy, in a new era.
+
+        Args:
+            copy: StoreCopy.
+            rewritten: (table, key, value as for `put`) of rows that were lost and that
+                others write again before the store answers a request.
+        """
+        with self._changed:
+            self.era += 1
+            self._rows, self._log = dict(copy.rows), list(copy.log)
+            self._version = copy.version
+            for table, key, value in rewritten:
+                self._apply_changes([(table, key, _encode_value(value))])
+            self._changed.notify_all()
+
     def list_keys(self, table):
         with self._changed:
             return [key for row_table, key in self._rows if row_table == table]
@@ -52,7 +89,7 @@
     def answer(self, request, body, connection, sock):
         self.calls += 1
         if self.is_away:
-            connection.start_answer(503, [], 0)
+            connection.start_answer(503, self._make_headers(), 0)
             return True
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -61,9 +98,12 @@
         if self.loses_answers and operation == "tx":
             return False
         answer = json.dumps({"nowS": 1.0, **data}).encode()
-        connection.start_answer(status, [], len(answer), answer)
+        connection.start_answer(status, self._make_headers(), len(answer), answer)
         return True
 
+    def _make_headers(self):
+        return [["Store-Era", str(self.era)]]
+
     def _get(self, query, body):
         with self._changed:
             rows = [
@@ -76,12 +116,14 @@
     def _feed(self, query, body):
         after, table = int(query["after"]), query["table"]
         with self._changed:
-            if after < self._oldest_version:
+            era = self.era
+            if not self._has_history(after):
                 return 410, {}
             self._changed.wait_for(
-                lambda: self._list_changes(table, after), int(query["waitMs"]) / 1000
+                lambda: self._list_changes(table, after) or self.era != era,
+                int(query["waitMs"]) / 1000,
             )
-            if after < self._oldest_version:
+            if not self._has_history(after):
                 return 410, {}
             rows = self._list_changes(table, after)
             return 200, {"rows": rows, "rowVersion": self._version}
@@ -109,6 +151,9 @@
             self._log.append((table, self._make_row(table, key, value, self._version)))
         self._changed.notify_all()
 
+    def _has_history(self, after):
+        return self._oldest_version <= after <= self._version
+
     def _list_changes(self, table, after):
         return [
             row
@@ -123,3 +168,8 @@
         else:
             row["value"] = value
         return row
+
+
+def _encode_value(value):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return base64.b64encode(data).decode()
