--- a/packages/godwitrack/src/godwitrack/feed.py
+++ b/packages/godwitrack/src/godwitrack/feed.py
@@ -1,10 +1,45 @@
-"""Versioned tables of the platform's store and the feed of changes to them."""
+"""Versioned tables of the platform's store and the feed of changes to them.
+
+A store that is restored from a copy begins a new era and gives out numbers again that
+it gave to lost changes. A version therefore consists of the era and of the number that
+the store gave in it. Versions are plain integers, so that they compare and travel as
+one value; in the first era they equal the store's own numbers.
+"""
 
 import abc
 import enum
 
 from godwitrack.exceptions import StoreError
 
+FIRST_ERA = 1
+# The store's numbers stay below this, so that a later era has higher versions.
+ERA_VERSIONS = 2**44
+
+
+def make_version(era, number):
+    """Return the version of a change.
+
+    Args:
+        era: Era of the store, from FIRST_ERA on.
+        number: Number that the store gave in that era, below ERA_VERSIONS.
+    """
+    return (era - FIRST_ERA) * ERA_VERSIONS + number
+
+
+def get_era(version):
+    """Return the era of a version."""
+    return version // ERA_VERSIONS + FIRST_ERA
+
+
+def get_number(version):
+    """Return the number that the store gave to a version in its era."""
+    return version % ERA_VERSIONS
+
+
+def format_version(version):
+    """Return a version as "ERA:NUMBER", for logs and errors."""
+    return f"{get_era(version)}:{get_number(version)}"
+
 
 class FeedTable(enum.IntEnum):
     """Tables whose changes nodes follow."""
@@ -18,7 +53,7 @@
 
     Attributes:
         key: Key of the row.
-        version: Version of the change; increases across all tables.
+        version: Version of the change; increases across all tables and eras.
         value: Bytes, or None if the row was removed.
     """
 
@@ -51,7 +86,10 @@
 
 
 class HistoryLost(StoreError):
-    """The store no longer has all changes since the requested version."""
+    """The store does not have all changes since the requested version.
+
+    They are too old, or the store was restored from a copy that lacks them.
+    """
 
 
 class RowConflict(StoreError):
@@ -87,6 +125,10 @@
             wait: Seconds to wait for a first change.
             timeout: Seconds after which the read has failed.
 
+        Returns:
+            The FeedPage. Its version names the store's present era. In another era than
+            that of `after`, the page may lack changes.
+
         Raises:
             HistoryLost: The history does not go back to `after`.
             StoreError: No usable answer came.
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -8,7 +8,7 @@
 import abc
 
 from godwitrack.exceptions import LinkError, MessageError, StoreError
-from godwitrack.feed import FeedPage, FeedRow
+from godwitrack.feed import FeedPage, FeedRow, HistoryLost, format_version, get_era
 from godwitrack.hashing import hash_text
 from godwitrack.messages import FeedAnswer, FeedRequest, pack_list
 
@@ -51,11 +51,21 @@
         self._store = store
 
     def read(self, table, after, times):
-        """Return the changes, or the whole table if `after` is below 0."""
+        """Return the changes, or the whole table if `after` is below 0.
+
+        Raises:
+            HistoryLost: The store lacks changes since `after`.
+            StoreError: The store gave no usable answer.
+        """
         if after < 0:
             return self._store.read_all(table)
         started = self._clock.read_monotonic()
         page = self._store.read_changes(table, after, times.wait, times.timeout)
+        if get_era(page.version) != get_era(after):
+            raise HistoryLost(
+                f"no changes after {format_version(after)}: "
+                f"the store is at {format_version(page.version)}"
+            )
         if not page.rows:
             # The store answered after the whole wait; the rest was spent on the way.
             elapsed = self._clock.read_monotonic() - started
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -4,7 +4,7 @@
 import threading
 
 from godwitrack.exceptions import MessageError, StoreError
-from godwitrack.feed import FeedPage, FeedTable, HistoryLost
+from godwitrack.feed import FeedPage, FeedTable, HistoryLost, format_version
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
 from godwitrack.messages import FeedRequest
@@ -225,8 +225,16 @@
         try:
             return self._store_source.read(table, after, times)
         except HistoryLost:
-            self._log.info("history lost", table=table.name, after=after)
-            return self._store_source.read(table, -1, times)
+            self._log.info(
+                "history lost", table=table.name, after=format_version(after)
+            )
+        page = self._store_source.read(table, -1, times)
+        if page.version < after:
+            raise StoreError(
+                f"the store is at {format_version(page.version)}, "
+                f"behind {format_version(after)}"
+            )
+        return page
 
     def _read_peer(self, table, address, after, times):
         source = PeerSource(self._clock, self._pool, address, self._own_address)
@@ -241,8 +249,8 @@
                 self._log.info(
                     "older page not used",
                     table=table.name,
-                    page_version=page.version,
-                    version=replica.version,
+                    page_version=format_version(page.version),
+                    version=format_version(replica.version),
                     is_whole=page.is_whole,
                 )
             if not replica.merge(page):
@@ -250,7 +258,7 @@
             self._log.info(
                 "table changed",
                 table=table.name,
-                version=page.version,
+                version=format_version(page.version),
                 rows=len(page.rows),
                 is_whole=page.is_whole,
             )
--- a/packages/godwitrack_node/src/godwitrack_node/memberrow.py
+++ b/packages/godwitrack_node/src/godwitrack_node/memberrow.py
@@ -4,7 +4,7 @@
 import threading
 
 from godwitrack.exceptions import StoreError
-from godwitrack.feed import FeedTable, RowConflict
+from godwitrack.feed import FeedTable, RowConflict, format_version
 from godwitrack.logs import get_logger
 from godwitrack_node.backoff import FIRST_PAUSE_SECONDS, MAX_PAUSE_SECONDS, Backoff
 from godwitrack_node.membertable import decode_member, encode_member
@@ -129,6 +129,8 @@
                 raise
             version = conflict.row.version if conflict.row is not None else 0
         is_serving = member is not None and member.is_serving
-        self._log.info("row written", version=version, serving=is_serving)
+        self._log.info(
+            "row written", version=format_version(version), serving=is_serving
+        )
         with self._changed:
             self._changed.notify_all()
--- a/packages/godwitrack_node/src/godwitrack_node/routes.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routes.py
@@ -3,7 +3,7 @@
 import abc
 
 from godwitrack.exceptions import ErrorKind, RequestError
-from godwitrack.feed import FeedTable
+from godwitrack.feed import FeedTable, format_version
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
 from godwitrack.routetable import CallerLimits
@@ -107,7 +107,7 @@
             self._log.info(
                 "data centres taken out",
                 data_centres=sorted(taken_out),
-                version=self._replica.version,
+                version=format_version(self._replica.version),
             )
         for listener in self._listeners:
             listener(before, self.taken_out)
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -111,7 +111,12 @@
                 for (row_table, key), stored in sorted(self._rows.items())
                 if row_table == query["table"] and key >= query.get("from", "")
             ]
-            return 200, {"rows": rows, "hasMore": False, "rowVersion": self._version}
+            limit = int(query["limit"])
+            return 200, {
+                "rows": rows[:limit],
+                "hasMore": len(rows) > limit,
+                "rowVersion": self._version,
+            }
 
     def _feed(self, query, body):
         after, table = int(query["after"]), query["table"]
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -1,16 +1,41 @@
 """Tests of nodes whose store comes back from a copy, with versions given out again."""
 
+import random
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
 from fakeplatform import APPLY_SECONDS
+from fakestore import FakeStore
+from godwitrack.exceptions import StoreError
+from godwitrack.feed import (
+    FeedPage,
+    FeedRow,
+    FeedStore,
+    FeedTable,
+    HistoryLost,
+    RowConflict,
+    get_era,
+    get_number,
+    make_version,
+)
+from godwitrack.messages import decode_message
+from godwitrack_node.backoff import Backoff
+from godwitrack_node.feedreplica import FeedReplica
+from godwitrack_node.feedsources import FeedAnswerBuilder, decode_answer
+from godwitrack_platform.store import PAGE_ROWS, PlatformStore
 from hostedfleet import RESOURCES, ask
 from operatorsrows import make_config, make_route
+from test_feedfreshness import make_feed_sync
 from testcaller import wait_for
 
 NEW_ROUTE = make_route("new", "/new/", "scenbok")
 ADDED_ROUTE = make_route("added", "/added/", "scenbok")
 # Rows of other tables that advance the store's counter.
 MANY_ROWS = 40
+LATER_ERA = 2
+# Number of the version that a node knows of the era before.
+KNOWN_NUMBER = 18
 
 
 def is_served_everywhere(fleet, path):
@@ -58,3 +83,184 @@
     wait_for(
         lambda: not any(m.find("configurations").taken_out for m in fleet.machines)
     )
+
+
+class RestoredStore(FeedStore):
+    """A store in a later era, which counts the calls that it gets.
+
+    Args:
+        number: Number of its newest version.
+        has_history: Whether it answers a read of changes after an earlier era's version
+            with an ordinary page, not with an error.
+    """
+
+    def __init__(self, number, has_history):
+        self._version = make_version(LATER_ERA, number)
+        self._has_history = has_history
+        self.calls = 0
+
+    def read_all(self, table):
+        self.calls += 1
+        return FeedPage([self._make_row()], self._version, True)
+
+    def read_changes(self, table, after, wait, timeout):
+        self.calls += 1
+        if get_era(after) != LATER_ERA and not self._has_history:
+            raise HistoryLost("the history is gone")
+        return FeedPage([], self._version, False)
+
+    def write_row(self, table, key, value, expected):
+        raise StoreError("not expected here")
+
+    def _make_row(self):
+        return FeedRow("config", make_version(LATER_ERA, 1), b"restored")
+
+
+@pytest.mark.parametrize("has_history", [False, True])
+@pytest.mark.parametrize("number", [3, KNOWN_NUMBER, 900])
+def test_a_restored_table_is_read_whole_and_once(clock, number, has_history):
+    """Guards against 680 reads a day of a table that is then not used."""
+    store = RestoredStore(number, has_history)
+    feed_sync, replica = make_feed_sync(
+        clock, "10.0.0.1:7000", ["10.0.0.1:7000"], store, version=KNOWN_NUMBER
+    )
+    backoff = Backoff(random.Random(1))
+    for _ in range(3):
+        feed_sync.follow_once(FeedTable.OPERATORS, backoff)
+    assert replica.find("config").value == b"restored"
+    assert replica.version == make_version(LATER_ERA, number)
+    # The refused read, that of the whole table, and two that find no change.
+    assert store.calls == 4
+
+
+class BackwardStore(RestoredStore):
+    """A store that lost what it acknowledged and does not name a new era."""
+
+    def read_all(self, table):
+        self.calls += 1
+        return FeedPage([], KNOWN_NUMBER - 1, True)
+
+    def read_changes(self, table, after, wait, timeout):
+        raise HistoryLost("the history is gone")
+
+
+def test_an_older_table_of_the_same_era_is_a_failed_read(clock):
+    """A failure is logged and followed by a pause; a page that is dropped is not."""
+    store = BackwardStore(0, False)
+    feed_sync, replica = make_feed_sync(
+        clock, "10.0.0.1:7000", ["10.0.0.1:7000"], store, version=KNOWN_NUMBER
+    )
+    feed_sync.follow_once(FeedTable.OPERATORS, Backoff(random.Random(1)))
+    assert feed_sync.is_source_skipped(FeedTable.OPERATORS, "")
+    assert replica.version == KNOWN_NUMBER
+
+
+@pytest.mark.parametrize(
+    ("source", "asked", "is_used"),
+    [
+        # Both in one era, then a source that is ahead of and behind the asking node.
+        ((1, 7), (1, 5), True),
+        ((1, 5), (1, 7), False),
+        ((2, 3), (1, 900), True),
+        ((1, 900), (2, 3), False),
+        # Two restorations in a row, of which the asking node heard of none.
+        ((3, 3), (1, 900), True),
+        ((3, 3), (2, 3), True),
+    ],
+)
+def test_a_page_of_another_node_replaces_the_table_of_an_earlier_era(
+    clock, source, asked, is_used
+):
+    source, asked = make_version(*source), make_version(*asked)
+    replica, reader = FeedReplica(clock), FeedReplica(clock)
+    replica.merge(FeedPage([FeedRow("a", source - 1, b"source")], source, True))
+    reader.merge(FeedPage([FeedRow("b", asked, b"asked")], asked, True))
+    page = replica.read(asked, 0.0)
+    assert (page is not None) is is_used
+    if page is None:
+        return
+    answer = FeedAnswerBuilder().build(FeedTable.FLEET, page)
+    reader.merge(decode_answer(decode_message(answer.encode())))
+    assert reader.version == source
+    assert reader.find("a").value == b"source"
+
+
+def test_a_late_page_of_an_earlier_era_changes_nothing(clock):
+    replica = FeedReplica(clock)
+    later, earlier = make_version(2, 3), make_version(1, 900)
+    replica.merge(FeedPage([FeedRow("a", later, b"later")], later, True))
+    replica.merge(FeedPage([FeedRow("a", earlier, b"earlier")], earlier, True))
+    replica.merge(FeedPage([FeedRow("a", earlier, None)], later, False))
+    assert replica.find("a").value == b"later"
+
+
+@pytest.mark.parametrize("era", [1, 2, 40])
+@pytest.mark.parametrize("number", [0, 1, 2**40])
+def test_a_version_names_its_era_and_number(era, number):
+    version = make_version(era, number)
+    assert (get_era(version), get_number(version)) == (era, number)
+    assert make_version(era, number + 1) > version
+    assert make_version(era + 1, 0) > version
+    # Nodes of a build that knows no eras understand those of the first one.
+    assert era > 1 or version == number
+
+
+@pytest.fixture
+def store():
+    with ThreadPoolExecutor(20) as executor:
+        store = FakeStore(executor)
+        yield store
+        store.close()
+
+
+def test_versions_of_the_platforms_store_name_its_era(store):
+    client = PlatformStore(store.address)
+    store.put("op", "a", b"1")
+    copy = store.copy()
+    store.put("op", "a", b"2")
+    known = client.read_all(FeedTable.OPERATORS)
+    store.restore(copy, [("op", "b", b"3")])
+    page = client.read_changes(FeedTable.OPERATORS, known.version, 0.0, 1.0)
+    assert (get_era(known.version), get_era(page.version)) == (1, 2)
+    assert get_number(known.version) == get_number(page.version)
+    whole = client.read_all(FeedTable.OPERATORS)
+    assert [(row.key, get_number(row.version)) for row in whole.rows] == [
+        ("a", 1),
+        ("b", 2),
+    ]
+    assert all(get_era(row.version) == 2 for row in whole.rows)
+
+
+def test_a_write_expects_the_number_that_the_row_has_in_its_era(store):
+    client = PlatformStore(store.address)
+    store.restore(store.copy())
+    written = client.write_row(FeedTable.FLEET, "a", b"1", 0)
+    assert get_era(written) == 2
+    assert client.write_row(FeedTable.FLEET, "a", b"2", written) > written
+    with pytest.raises(RowConflict) as found:
+        client.write_row(FeedTable.FLEET, "a", b"3", written)
+    assert get_era(found.value.row.version) == 2
+    client.write_row(FeedTable.FLEET, "a", None, found.value.row.version)
+    with pytest.raises(RowConflict) as found:
+        client.write_row(FeedTable.FLEET, "a", b"4", written)
+    assert found.value.row is None
+
+
+@pytest.mark.parametrize("era", ["0", "-1", "two", "1.5", "9" * 30])
+def test_an_era_that_is_no_number_is_an_error(store, era):
+    store.era = era
+    with pytest.raises(StoreError, match="store-era"):
+        PlatformStore(store.address).read_all(FeedTable.OPERATORS)
+
+
+def test_a_table_that_changes_its_era_while_it_is_read_is_an_error(store):
+    class RestoringStore(PlatformStore):
+        def _fetch(self, *arguments):
+            answer = super()._fetch(*arguments)
+            store.restore(store.copy())
+            return answer
+
+    for number in range(PAGE_ROWS + 1):
+        store.put("op", f"{number:04}", b"")
+    with pytest.raises(StoreError, match="restored"):
+        RestoringStore(store.address).read_all(FeedTable.OPERATORS)
