--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -12,6 +12,8 @@
 
 # TCP keepalive detects a dead connection even while no data is sent on it.
 KEEPALIVE_INTERVAL_SECONDS = 1
+# The line that ends a head; a part of it ends nothing.
+HEAD_ENDS = (b"\r\n", b"\n")
 
 
 class Row:
@@ -167,6 +169,9 @@
             handle.perform()
         except pycurl.error as error:
             raise StoreError(f"{method} {url}: {error.args[1]}") from None
+        if not header_lines or header_lines[-1] not in HEAD_ENDS:
+            # libcurl takes the end of the connection for the end of the head.
+            raise StoreError(f"{method} {url}: the head broke off")
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         return HttpResponse(status, response_body.getvalue(), header_lines)
 
--- a/packages/godwitrack_node/src/godwitrack_node/backend.py
+++ b/packages/godwitrack_node/src/godwitrack_node/backend.py
@@ -5,6 +5,7 @@
 import pycurl
 
 from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.store import HEAD_ENDS
 from godwitrack_node.backendrequest import BackendRequest
 
 MAX_IDLE_CONNECTION_SECONDS = 5
@@ -140,6 +141,7 @@
         self._status = 0
         self._headers = []
         self._length = -1
+        self._is_head_complete = False
         self._is_head_delivered = False
         self._buffer = request.body
         self._failure = None
@@ -152,6 +154,9 @@
             if self._failure is not None:
                 raise self._failure from None
             raise self._make_error(*error.args[:2]) from None
+        if not self._is_head_complete:
+            # libcurl takes the end of the connection for the end of the head.
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the head broke off")
         if not self._is_head_delivered:
             self._deliver_head()
             if self._failure is not None:
@@ -229,8 +234,10 @@
             self._status = int(text.split(" ", 2)[1])
             self._headers = []
             self._length = -1
+            self._is_head_complete = False
             return
-        if not text:
+        if line in HEAD_ENDS:
+            self._is_head_complete = True
             if self._status >= 200 and self._request.method == "HEAD":
                 self._deliver_head()
             return
