Keep rows that a restored store lacks in force until they are written again (EVAC, CONFIG)

What callers would see: a store that comes back from a copy may answer before its operators and nodes have written again what it lost. A take-out that was acknowledged would end at all nodes at that moment, and nodes whose rows are lost would get no requests, though they run.

Cause: a row that the whole table lacks was taken for removed. In a new era it may be lost. Fix: the replica keeps listing such rows for 10 s, or until the new era writes or removes them. They are not the store's rows: a node finds its own row missing and writes it again, and other nodes are not told of them.

--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -2,9 +2,11 @@
 
 import threading
 
-from godwitrack.feed import FeedPage
+from godwitrack.feed import FeedPage, get_era
 
 MAX_REMOVED_ROWS = 1000
+# Time for the writers of lost rows to notice the restoration and write them again.
+LOST_ROWS_SECONDS = 10.0
 
 
 class FeedReplica:
@@ -12,6 +14,9 @@
 
     Removed rows are kept up to a limit, so that a reader learns of removals; a reader
     that lacks older ones gets the whole table.
+
+    Rows that a restored store lacks stay listed for a while, unless they are removed
+    in the new era: a take-out or a node does not end because the store lost its row.
     """
 
     def __init__(self, clock):
@@ -19,6 +24,8 @@
         self._changed = threading.Condition()
         self._rows = {}
         self._removed = {}
+        self._lost = {}
+        self._lost_until = 0.0
         self._version = -1
         # All removals after this version are kept.
         self._complete_since = 0
@@ -43,13 +50,13 @@
         return -1 if age is None else int(age * 1000)
 
     def find(self, key):
-        """Return the FeedRow with a key, or None if there is none."""
+        """Return the FeedRow with a key, or None if the store has none."""
         return self._rows.get(key)
 
     def list_rows(self):
-        """Return all FeedRows."""
+        """Return all FeedRows, also those that a restored store lost a moment ago."""
         with self._changed:
-            return list(self._rows.values())
+            return [*self._rows.values(), *self._lost.values()]
 
     def merge(self, page):
         """Merge a FeedPage.
@@ -63,10 +70,12 @@
                 return False
             has_changed = self._version < 0
             if page.is_whole:
+                self._keep_lost(page)
                 has_changed |= self._drop_unlisted(page)
                 self._complete_since = page.version
             for row in page.rows:
                 has_changed |= self._merge_row(row)
+            has_changed |= self._expire_lost()
             self._version = page.version
             self._changed.notify_all()
         return has_changed
@@ -105,6 +114,7 @@
         known = self._rows.get(row.key) or self._removed.get(row.key)
         if known is not None and known.version >= row.version:
             return False
+        self._lost.pop(row.key, None)
         if row.value is None:
             self._rows.pop(row.key, None)
             self._removed[row.key] = row
@@ -114,6 +124,21 @@
             self._rows[row.key] = row
         return True
 
+    def _keep_lost(self, page):
+        """Keep the rows that the first whole page of a later era lacks."""
+        if self._version < 0 or get_era(page.version) == get_era(self._version):
+            return
+        listed = {row.key for row in page.rows}
+        known = {**self._lost, **self._rows}
+        self._lost = {key: row for key, row in known.items() if key not in listed}
+        self._lost_until = self._clock.read_monotonic() + LOST_ROWS_SECONDS
+
+    def _expire_lost(self):
+        if not self._lost or self._clock.read_monotonic() < self._lost_until:
+            return False
+        self._lost.clear()
+        return True
+
     def _drop_unlisted(self, page):
         listed = {row.key for row in page.rows}
         missing = [
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -21,7 +21,7 @@
 )
 from godwitrack.messages import decode_message
 from godwitrack_node.backoff import Backoff
-from godwitrack_node.feedreplica import FeedReplica
+from godwitrack_node.feedreplica import LOST_ROWS_SECONDS, FeedReplica
 from godwitrack_node.feedsources import FeedAnswerBuilder, decode_answer
 from godwitrack_platform.store import PAGE_ROWS, PlatformStore
 from hostedfleet import RESOURCES, ask
@@ -264,3 +264,66 @@
         store.put("op", f"{number:04}", b"")
     with pytest.raises(StoreError, match="restored"):
         RestoringStore(store.address).read_all(FeedTable.OPERATORS)
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        # The store lost "b" and "c"; nothing is known of them yet.
+        ([], {"a", "b", "c"}),
+        # One is written again, the other is removed in the new era.
+        ([FeedRow("b", make_version(2, 4), b"b")], {"a", "b", "c"}),
+        ([FeedRow("c", make_version(2, 4), None)], {"a", "b"}),
+    ],
+)
+def test_rows_that_a_restored_store_lacks_stay_listed_for_a_while(
+    clock, changes, expected
+):
+    replica = FeedReplica(clock)
+    known = [FeedRow(key, number, b"") for number, key in enumerate("abc", 1)]
+    replica.merge(FeedPage(known, 9, True))
+    version = make_version(2, 3)
+    replica.merge(FeedPage([FeedRow("a", make_version(2, 1), b"")], version, True))
+    # The store lacks the row, so that its writer writes it again.
+    assert replica.find("b") is None
+    replica.merge(FeedPage(changes, make_version(2, 4), False))
+    assert {row.key for row in replica.list_rows()} == expected
+    clock.advance(LOST_ROWS_SECONDS)
+    assert replica.merge(FeedPage([], make_version(2, 4), False))
+    remaining = {row.key for row in changes if row.value is not None}
+    assert {row.key for row in replica.list_rows()} == {"a"} | remaining
+
+
+def test_a_take_out_that_the_store_lost_stays_in_force(fleet):
+    """A restored store may answer before its operators have written again."""
+    copy = fleet.store.copy()
+    fleet.store.put("op", "evacuate/dc-a", {})
+    wait_for(lambda: all(m.find("configurations").taken_out for m in fleet.machines))
+    fleet.store.restore(copy)
+    wait_for(lambda: all_in_later_era(fleet, FeedTable.OPERATORS))
+    assert all(m.find("configurations").taken_out for m in fleet.machines)
+    fleet.store.put("op", "evacuate/dc-a", {})
+    fleet.store.remove("op", "evacuate/dc-a")
+    wait_for(
+        lambda: not any(m.find("configurations").taken_out for m in fleet.machines)
+    )
+
+
+def test_nodes_whose_rows_the_store_lost_are_called_and_write_them_again(fleet):
+    empty = FakeStore(fleet.executor)
+    copy = empty.copy()
+    empty.close()
+    keys = set(fleet.store.list_keys("fleet"))
+    fleet.store.restore(copy, [("op", "config", make_config(4, *RESOURCES))])
+    wait_for(lambda: all_in_later_era(fleet, FeedTable.OPERATORS))
+    for number in range(20):
+        assert ask(fleet.machines[0], "/lamp/1", f"r{number}").status == 200
+    wait_for(lambda: all_in_later_era(fleet, FeedTable.FLEET), 10.0)
+    wait_for(lambda: set(fleet.store.list_keys("fleet")) == keys)
+    assert is_served_everywhere(fleet, "/lamp/1")
+
+
+def all_in_later_era(fleet, table):
+    """Return whether all nodes have read a table of a later era than the first."""
+    replicas = [m.find("membership").get_replica(table) for m in fleet.machines]
+    return all(get_era(replica.version) > 1 for replica in replicas)
