--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -60,6 +60,8 @@
         }
         self._replicas = {table: FeedReplica(clock) for table in FeedTable}
         self._listeners = {table: [] for table in FeedTable}
+        # Tables whose last read of the store failed.
+        self._failed_reads = set()
         self._requesters = set()
         self._wake_events = {table: threading.Event() for table in FeedTable}
         self._answer_builder = FeedAnswerBuilder()
@@ -222,6 +224,15 @@
 
     def _read_store(self, table, after, age):
         times = self._freshness_rules[table].compute_store_times(age)
+        if table in self._failed_reads:
+            # The store may have been restored meanwhile, which its first answer tells.
+            times = ReadTimes(0.0, times.timeout)
+        page = self._read_changes(table, after, times)
+        self._failed_reads.discard(table)
+        return page
+
+    def _read_changes(self, table, after, times):
+        """Read the changes after a version, or the whole table if they are lost."""
         try:
             return self._store_source.read(table, after, times)
         except HistoryLost:
@@ -284,6 +295,8 @@
             self._merge(table, page)
 
     def _record_failure(self, table, address, error):
+        if not address:
+            self._failed_reads.add(table)
         self._selectors[table].skip(address)
         self._log.info(
             "source failed",
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -327,3 +327,32 @@
     """Return whether all nodes have read a table of a later era than the first."""
     replicas = [m.find("membership").get_replica(table) for m in fleet.machines]
     return all(get_era(replica.version) > 1 for replica in replicas)
+
+
+class RecoveringStore(RestoredStore):
+    """A restored store whose first read fails; it records the waits."""
+
+    def __init__(self, number):
+        super().__init__(number, True)
+        self.waits = []
+
+    def read_changes(self, table, after, wait, timeout):
+        self.waits.append(wait)
+        if len(self.waits) == 1:
+            raise StoreError("away")
+        return super().read_changes(table, after, wait, timeout)
+
+
+def test_the_first_read_after_a_failure_does_not_wait_for_changes(clock):
+    """Guards against a lost row that its node misses for a whole long poll."""
+    store = RecoveringStore(900)
+    feed_sync, replica = make_feed_sync(
+        clock, "10.0.0.1:7000", ["10.0.0.1:7000"], store, version=KNOWN_NUMBER
+    )
+    backoff = Backoff(random.Random(1))
+    for _ in range(3):
+        feed_sync.follow_once(FeedTable.OPERATORS, backoff)
+    assert replica.version == make_version(LATER_ERA, 900)
+    assert store.waits[0] > 0.0
+    assert store.waits[1] == 0.0
+    assert store.waits[2] > 0.0
