Let only a page that is used confirm a node's content (CONFIG)

Cause: the replica took every page as the store's confirmation of its content, also one that it dropped as older.

Evidence: test_an_older_page_does_not_confirm_the_content failed before (age 0.0, not 4.0).

--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -65,9 +65,9 @@
             Whether any row changed.
         """
         with self._changed:
-            self._update_confirmed_at(page)
             if page.version < self._version:
                 return False
+            self._update_confirmed_at(page)
             has_changed = self._version < 0
             if page.is_whole:
                 self._keep_lost(page)
--- a/tests/test_feedreplica.py
+++ b/tests/test_feedreplica.py
@@ -101,6 +101,15 @@
     assert replica.age == pytest.approx(0.5)
 
 
+def test_an_older_page_does_not_confirm_the_content(clock):
+    """Guards against an age of some ms of content that nodes had not read for 4 s."""
+    replica = FeedReplica(clock)
+    replica.merge(make_page([("a", 5, b"5")], 5, True))
+    clock.advance(4.0)
+    replica.merge(make_page([("a", 3, b"3")], 3, True))
+    assert replica.age == pytest.approx(4.0)
+
+
 @pytest.mark.parametrize(
     "row", [["a"], ["a", 1], ["a", "1", b""], ["a", 1, "text"], "a", [1, 1, b""]]
 )
