Answer every request that a planned stop has taken, to its end (LOST)

What callers saw, as another operator reports: requests that came late in a planned stop were passed on and cut off without an answer when the process ended, also ones that may not be repeated. It can happen here, in three ways, each shown by a test that failed before:

- A stand-alone node took new requests until it ended: with callers that keep sending, its wait for none in flight ran to its limit, and then it closed the connections of those under way (ConnectionError at the callers; the platform's nodes close and refuse since long).
Now its callers' port closes connections after an answer, and refuses once the notice has passed.
- A request whose body arrived after a node had begun to refuse was still passed on, since the check came before the body was read (body 0.2 s before the end: closed without an answer).
Now it comes after the body, before anything is passed on: 503, not run.
- Requests that outlast the stop were cut.
Now the reading side of their connections is shut, which ends each wait as a caller that leaves does, and they get 502, or 503 where nothing was passed on.

The rest of a stop is as before.

--- a/packages/godwitrack_node/src/godwitrack_node/callers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -31,7 +31,7 @@
         self._metrics = None
         self._request_log = None
         self._is_stopping = False
-        self._is_refusing = False
+        self._is_finishing = False
         self._log = get_logger("callers")
 
     @property
@@ -63,9 +63,14 @@
         says that they did not run.
         """
         self._is_stopping = True
-        self._is_refusing = True
+        self._entry.is_refusing = True
         self._server.close()
 
+    def finish(self):
+        """End the requests in flight with an error answer, as the node ends now."""
+        self._is_finishing = True
+        self._server.stop_reading()
+
     def stop(self):
         """Close the connections that are still open."""
         self._server.interrupt()
@@ -98,15 +103,16 @@
     def _handle(self, entry_request, request, connection):
         """Handle one request; returns whether the connection is still usable."""
         try:
-            if self._is_refusing:
-                raise RequestError(ErrorKind.STOPPING, "the node is stopping")
+            self._entry.check_accepting()
             self._entry.handle(entry_request, request, connection)
             return True
         except RequestError as error:
             failure = error
         except CallerDisconnected:
-            self._metrics.count_caller_disconnected()
-            return False
+            if not self._is_finishing:
+                self._metrics.count_caller_disconnected()
+                return False
+            failure = _make_finish_error(entry_request)
         except Exception:
             self._log.exception("request failed", request_id=entry_request.request_id)
             failure = RequestError(ErrorKind.INTERNAL)
@@ -134,3 +140,10 @@
         except CallerDisconnected:
             return False
         return True
+
+
+def _make_finish_error(entry_request):
+    """Return the RequestError of a request that outlasts the node."""
+    if not entry_request.server:
+        return RequestError(ErrorKind.STOPPING, "the node ends before its body came")
+    return RequestError(ErrorKind.OUTCOME_UNKNOWN, "the node ends before its answer")
--- a/packages/godwitrack_node/src/godwitrack_node/callhandler.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callhandler.py
@@ -2,13 +2,29 @@
 
 import abc
 
+from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.kernel import Service
 
 
 class CallHandler(Service):
-    """Forwards callers' requests to backend servers and returns the answers."""
+    """Forwards callers' requests to backend servers and returns the answers.
+
+    Attributes:
+        is_refusing: Whether requests of which nothing was passed on yet are refused,
+            because the node is about to end.
+    """
 
     name = "entry"
+    is_refusing = False
+
+    def check_accepting(self):
+        """Check that a request may be passed on for the first time.
+
+        Raises:
+            RequestError: STOPPING; the node is about to end.
+        """
+        if self.is_refusing:
+            raise RequestError(ErrorKind.STOPPING, "the node is stopping")
 
     @property
     @abc.abstractmethod
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -145,6 +145,8 @@
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         source = CallerSource(connection, self._max_body)
         body, more = read_first_part(source, request)
+        # The body may have taken until the node began to refuse requests.
+        self.check_accepting()
         source.is_consumed = False
         sink = CallerSink(
             connection,
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -104,6 +104,8 @@
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         source = CallerSource(connection, limits.body_bytes)
         body, more = read_first_part(source, request, BUFFERED_BODY_BYTES)
+        # The body may have taken until the node began to refuse requests.
+        self.check_accepting()
         source.is_consumed = False
         sink = CallerSink(
             connection, request, None, entry_request.retry_rule.may_replace
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -42,6 +42,8 @@
 # Allows for several round trips between regions.
 CONNECT_TIMEOUT_SECONDS = 0.3
 POLL_SECONDS = 0.02
+# Requests that outlast a planned stop get an error answer in this time at its end.
+FINISH_SECONDS = 0.1
 # After a stop begins, callers are sent to other nodes once two readiness checks, one
 # second apart, have failed.
 NOTICE_SECONDS = 2.6
@@ -236,10 +238,20 @@
             if self._clock.read_monotonic() >= deadline:
                 break
         cut = self._count_in_flight()
+        self._finish_requests()
         self._log.info("node stopped", node=self.identity.name, requests_cut=cut)
         self.halt()
         return cut
 
+    def _finish_requests(self):
+        """Answer the callers whose requests are still in flight."""
+        self.kernel.find("callers").finish()
+        deadline = self._clock.read_monotonic() + FINISH_SECONDS
+        while self.kernel.find("metrics").active:
+            if self._clock.read_monotonic() >= deadline:
+                break
+            self._clock.sleep(POLL_SECONDS)
+
     def _wait_until(self, until):
         """Wait until a monotonic time, or until an immediate stop is requested."""
         self._immediate_stop.wait(max(until - self._clock.read_monotonic(), 0.0))
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -333,12 +333,19 @@
             pass
         self._socket.close()
 
+    def stop_reading(self):
+        """End all waits for bytes of open connections; answers can still be sent."""
+        self._shut_down(socket.SHUT_RD)
+
     def interrupt(self):
         """Shut down the open connections and any that is accepted meanwhile."""
         self._is_interrupted = True
+        self._shut_down(socket.SHUT_RDWR)
+
+    def _shut_down(self, direction):
         for sock in list(self._open_sockets):
             try:
-                sock.shutdown(socket.SHUT_RDWR)
+                sock.shutdown(direction)
             except OSError:
                 pass
 
--- a/packages/godwitrack_node/src/godwitrack_node/lifecycle.py
+++ b/packages/godwitrack_node/src/godwitrack_node/lifecycle.py
@@ -30,6 +30,7 @@
         self._guard = None
         self._membership = None
         self._metrics = None
+        self._callers = None
         self._log = get_logger("lifecycle")
 
     def connect(self, kernel):
@@ -37,6 +38,7 @@
         self._guard = kernel.find("guard")
         self._membership = kernel.find("membership")
         self._metrics = kernel.find("metrics")
+        self._callers = kernel.find("callers")
 
     @property
     def state(self):
@@ -82,22 +84,31 @@
     def finish_work(self):
         """Publish that the server leaves, and wait for the requests in flight.
 
+        Callers get the notice, too: until it ends, requests are passed on, and each
+        answer closes its connection; then further requests are refused.
+
         Returns:
             Number of requests still in flight when the wait ended.
         """
         with self._lock:
             self._is_stopping = True
             announced, self._state = self._state is not None, ServerState.LEAVING
+        self._callers.begin_stop()
         if announced:
             self._leave()
+        else:
+            self._immediate_stop.wait(self._notice_seconds)
+        self._callers.drain()
         deadline = self._clock.read_monotonic() + self._stop_timeout_seconds
         while self._count_in_flight() and not self._immediate_stop.wait(POLL_SECONDS):
             if self._clock.read_monotonic() >= deadline:
                 break
+        cut = self._count_in_flight()
+        self._callers.finish()
         if announced:
             self._membership.publish(ServerState.GONE, self._slots)
             self._immediate_stop.wait(self._notice_seconds / 2)
-        return self._count_in_flight()
+        return cut
 
     def _count_in_flight(self):
         return self._guard.admission.in_flight + self._metrics.active
