--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -7,7 +7,7 @@
 import bisect
 import threading
 
-from godwitrack.feed import FeedTable
+from godwitrack.feed import FeedTable, get_era
 from godwitrack_node.activerequests import ActiveRequests
 from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.hostports import PortHandler
@@ -157,6 +157,7 @@
             "ledger_entries": len(guard.ledger),
             "revision": routes.table.revision if routes.is_ready else 0,
             "routes_age_ms": operators_replica.age_ms,
+            "routes_era": get_era(operators_replica.version),
             "members": len(self._kernel.find("member-table").list_members()),
             "links_opened": self._kernel.find("link-pool").opened,
             "serving": int(registration.is_serving),
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -356,3 +356,30 @@
     assert store.waits[0] > 0.0
     assert store.waits[1] == 0.0
     assert store.waits[2] > 0.0
+
+
+def test_routes_that_the_store_lost_stay_in_force(fleet):
+    """Guards against a node that goes back to older routes (CONFIG)."""
+    copy = fleet.store.copy()
+    fleet.store.put("op", "config", make_config(9, *RESOURCES, NEW_ROUTE))
+    wait_for(lambda: is_served_everywhere(fleet, "/new/1"))
+    fleet.store.restore(copy)
+    wait_for(lambda: all_in_later_era(fleet, FeedTable.OPERATORS))
+    assert is_served_everywhere(fleet, "/new/1")
+    fleet.store.put("op", "config", make_config(13, *RESOURCES, ADDED_ROUTE))
+    wait_for(lambda: is_served_everywhere(fleet, "/added/1"), APPLY_SECONDS)
+    assert ask(fleet.machines[0], "/new/1").status == 404
+
+
+def test_a_node_that_starts_after_a_restoration_follows_the_others(fleet):
+    """Two restorations, of which the restarted node has seen none."""
+    machine = fleet.machines[1]
+    machine.kill()
+    for _ in range(2):
+        fleet.store.restore(fleet.store.copy())
+    machine.start()
+    wait_for(machine.is_ready)
+    fleet.store.put("op", "config", make_config(9, *RESOURCES, NEW_ROUTE))
+    wait_for(lambda: is_served_everywhere(fleet, "/new/1"), APPLY_SECONDS)
+    replica = machine.find("membership").get_replica(FeedTable.OPERATORS)
+    assert get_era(replica.version) == 3
