--- a/soak/soakchecks.py
+++ b/soak/soakchecks.py
@@ -28,6 +28,7 @@
         FaultKind.STORE_AWAY,
         FaultKind.STORE_LOSES_ANSWERS,
         FaultKind.STORE_FORGETS,
+        FaultKind.STORE_RESTORED,
     )
 )
 
--- a/soak/soakfaults.py
+++ b/soak/soakfaults.py
@@ -20,6 +20,8 @@
 PROCESS_KINDS = frozenset(
     (FaultKind.NODE_KILL, FaultKind.NODE_PAUSE, FaultKind.NODE_STOP)
 )
+# Time for which the store is away while it is restored from a copy.
+RESTORATION_SECONDS = 0.3
 CUT_DIRECTIONS = {
     FaultKind.PATH_CUT_IN: (Direction.TO_TARGET,),
     FaultKind.PATH_CUT_OUT: (Direction.FROM_TARGET,),
@@ -78,6 +80,8 @@
             FaultKind.SERVER_CLOCK: self._crash_server,
             FaultKind.SERVER_SLOW: self._slow_server,
             FaultKind.SERVER_BREAKS: self._break_server_answers,
+            FaultKind.SERVER_CUTS_HEADS: self._cut_server_heads,
+            FaultKind.STORE_RESTORED: self._restore_store,
         }
         self.applied_faults = []
 
@@ -147,6 +151,17 @@
     def _compact_store_log(self, fault, machine):
         self._fleet.store.compact()
 
+    def _restore_store(self, fault, machine):
+        """Restore the store from a copy; operators' rows are written again at once."""
+        with self._fleet.store_lock:
+            store = self._fleet.store
+            copy = store.copy()
+            time.sleep(fault.seconds)
+            store.is_away = True
+            time.sleep(RESTORATION_SECONDS)
+            store.restore(copy, kept_table="op")
+            store.is_away = False
+
     def _change_routes(self, fault, machine):
         self._fleet.publish_routes()
 
@@ -181,6 +196,12 @@
         time.sleep(fault.seconds)
         server.breaks_answers = False
 
+    def _cut_server_heads(self, fault, machine):
+        server = machine.server
+        server.cuts_heads = True
+        time.sleep(fault.seconds)
+        server.cuts_heads = False
+
 
 def may_end_caller_connection(fault, node):
     """Return whether a fault may end a caller's connection to a node."""
--- a/soak/soakfleet.py
+++ b/soak/soakfleet.py
@@ -8,11 +8,12 @@
 from operatorsrows import make_config, make_route, make_service
 from soakcallers import CALL_KINDS, CALLERS_PER_NODE, TIMEOUT_SECONDS, SoakCaller
 from soakmachine import MachineSpec, SoakMachine
-from testcaller import wait_for
+from testcaller import make_request_headers, send, wait_for
 
 MAX_THREADS = 1500
 WARM_UP_REQUESTS_PER_SECOND = 20.0
 MAX_ATTEMPTS = 2
+PROBE_SECONDS = 1.0
 MACHINE_SPECS = (
     MachineSpec("scenbok", "dc-a", "north"),
     MachineSpec("styrning", "dc-a", "north"),
@@ -69,6 +70,11 @@
             config = make_config(self._revision, *resources, extra, *services)
             self.store.put("op", "config", config)
 
+    def list_without_routes(self):
+        """Return the numbers of the nodes that still know a route of older routes."""
+        path = f"/extra-{self._revision - 1}/1"
+        return [m.number for m in self.machines if not _is_unknown(m, path)]
+
     def wait_ready(self):
         """Wait until every node is ready."""
         wait_for(lambda: all(machine.is_ready() for machine in self.machines))
@@ -104,6 +110,15 @@
         self.executor.shutdown(wait=False, cancel_futures=True)
 
 
+def _is_unknown(machine, path):
+    headers = make_request_headers(f"probe-{machine.number}", PROBE_SECONDS)
+    try:
+        answer = send(machine.caller_address, "GET", path, headers=headers)
+    except OSError:
+        return False
+    return answer.status == 404
+
+
 def _make_call_route(kind):
     return make_route(
         kind.name,
--- a/soak/soakplan.py
+++ b/soak/soakplan.py
@@ -31,6 +31,8 @@
     SERVER_CLOCK = "server_clock"
     SERVER_SLOW = "server_slow"
     SERVER_BREAKS = "server_breaks"
+    SERVER_CUTS_HEADS = "server_cuts_heads"
+    STORE_RESTORED = "store_restored"
 
 
 class PathName(enum.Enum):
@@ -64,6 +66,14 @@
     FaultKind.SERVER_SLOW: (0.5, 4.0, 2),
     FaultKind.SERVER_BREAKS: (0.3, 2.0, 2),
 }
+# Kinds that were added later: they are drawn from a sequence of their own, so that the
+# faults of a seed that once had findings stay the same.
+LATER_DURATIONS_AND_WEIGHTS = {
+    FaultKind.SERVER_CUTS_HEADS: (0.3, 2.0, 1),
+    FaultKind.STORE_RESTORED: (0.5, 4.0, 2),
+}
+# One fault of the later kinds for so many others.
+LATER_SHARE = 4
 # Delay added to each chunk of bytes on a path.
 PATH_DELAYS_SECONDS = (0.005, 0.02, 0.1, 0.4)
 # Service time of each request at a slow server.
@@ -116,23 +126,27 @@
     plan = []
     for _ in range(count):
         start_seconds = rng.uniform(FIRST_FAULT_SECONDS, seconds)
-        plan += _draw_series(rng, start_seconds, nodes)
+        plan += _draw_series(rng, start_seconds, nodes, DURATIONS_AND_WEIGHTS)
+    rng = random.Random(f"later {seed}")
+    for _ in range(count // LATER_SHARE):
+        start_seconds = rng.uniform(FIRST_FAULT_SECONDS, seconds)
+        plan += _draw_series(rng, start_seconds, nodes, LATER_DURATIONS_AND_WEIGHTS)
     return sorted(
         (fault for fault in plan if fault.start_seconds <= seconds), key=_get_start
     )
 
 
-def _draw_series(rng, start_seconds, nodes):
+def _draw_series(rng, start_seconds, nodes, kinds):
     """Return one fault, or several of one kind in a row at the same node and path."""
-    weights = [weight for _, _, weight in DURATIONS_AND_WEIGHTS.values()]
-    kind = rng.choices(list(DURATIONS_AND_WEIGHTS), weights)[0]
+    weights = [weight for _, _, weight in kinds.values()]
+    kind = rng.choices(list(kinds), weights)[0]
     length = (
         rng.randint(2, MAX_SERIES_FAULTS) if rng.random() < SERIES_PROBABILITY else 1
     )
     node, path = rng.randrange(nodes), rng.choice(list(PathName))
     series = []
     for _ in range(length):
-        shortest, longest, _ = DURATIONS_AND_WEIGHTS[kind]
+        shortest, longest, _ = kinds[kind]
         seconds = rng.uniform(shortest, longest)
         strength = _draw_strength(rng, kind)
         series.append(PlannedFault(start_seconds, kind, node, path, seconds, strength))
--- a/soak/soakrun.py
+++ b/soak/soakrun.py
@@ -175,6 +175,11 @@
         if time.monotonic() > deadline:
             return [Finding("RECOVER", f"not served: {sorted(unserved)}")]
         time.sleep(POLL_SECONDS)
+    fleet.publish_routes()
+    while unaware := fleet.list_without_routes():
+        if time.monotonic() > deadline:
+            return [Finding("CONFIG", f"without the newest routes: {unaware}")]
+        time.sleep(POLL_SECONDS)
     return []
 
 
--- a/soak/soakserver.py
+++ b/soak/soakserver.py
@@ -4,6 +4,8 @@
 
 from fakebackend import FakeBackendServer
 
+CUT_HEAD = b"HTTP/1.1 200 OK\r\nGodwitrack-Server-Signature: s\r\nContent-Len"
+
 
 class Run:
     """One execution of a request at a backend server.
@@ -48,6 +50,7 @@
         draining_since: Monotonic time in seconds at which its node accepted that it
             drains, or None.
         breaks_answers: Whether it closes connections instead of answering.
+        cuts_heads: Whether it closes connections in the middle of an answer's head.
     """
 
     def __init__(self, executor, runs, node, service, instance, address):
@@ -66,6 +69,7 @@
         self.started_at = time.monotonic()
         self.draining_since = None
         self.breaks_answers = False
+        self.cuts_heads = False
         self.behave = self._answer_run
         self._runs = runs
         self._lengths = {}
@@ -95,6 +99,9 @@
         length = self._lengths.pop(request_id, 0)
         if self.breaks_answers or (self.seconds and not self._work(sock)):
             return False
+        if self.cuts_heads:
+            sock.sendall(CUT_HEAD)
+            return False
         self.send_answer(request_id, connection, make_answer_text(request_id, length))
         return True
 
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -66,22 +66,35 @@
         with self._changed:
             return StoreCopy(dict(self._rows), list(self._log), self._version)
 
-    def restore(self, copy, rewritten=()):
+    def restore(self, copy, rewritten=(), kept_table=""):
         """Go back to a StoreCopy, in a new era.
 
         Args:
             copy: StoreCopy.
             rewritten: (table, key, value as for `put`) of rows that were lost and that
                 others write again before the store answers a request.
+            kept_table: Table whose lost changes are all made again at once.
         """
         with self._changed:
+            changes = [(table, key, _encode_value(v)) for table, key, v in rewritten]
+            changes += self._list_lost(copy, kept_table)
             self.era += 1
             self._rows, self._log = dict(copy.rows), list(copy.log)
             self._version = copy.version
-            for table, key, value in rewritten:
-                self._apply_changes([(table, key, _encode_value(value))])
+            for change in changes:
+                self._apply_changes([change])
             self._changed.notify_all()
 
+    def _list_lost(self, copy, table):
+        """Return the changes that lead from a copy to the present rows of a table."""
+        keys = {key for name, key in {**copy.rows, **self._rows} if name == table}
+        changes = []
+        for key in sorted(keys):
+            value = self._rows.get((table, key), (None, 0))[0]
+            if value != copy.rows.get((table, key), (None, 0))[0]:
+                changes.append((table, key, value))
+        return changes
+
     def list_keys(self, table):
         with self._changed:
             return [key for row_table, key in self._rows if row_table == table]
