--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -113,9 +113,10 @@
         remaining = call.deadline_ms / 1000.0 + self._grace
         deadline = self._clock.read_monotonic() + remaining
         link = self._connect(call)
+        body = _RemainingBody(call, source)
         is_complete = False
         try:
-            message = self._exchange(link, call, source, deadline)
+            message = self._exchange(link, call, body, deadline)
             if type(message) is Outcome:
                 sink.start(
                     message.status,
@@ -136,7 +137,7 @@
             )
             raise
         finally:
-            if is_complete:
+            if is_complete and body.is_settled:
                 self._pool.release(link)
             else:
                 link.abort()
@@ -152,18 +153,15 @@
         except LinkError as error:
             raise RequestError(ErrorKind.BACKEND_UNREACHABLE, str(error)) from None
 
-    def _exchange(self, link, call, source, deadline):
+    def _exchange(self, link, call, body, deadline):
         """Send the call and return the first message of its answer."""
         try:
-            remaining_body = _RemainingBody(call, source)
             if self._pacer is not None:
-                remaining_body.shorten_first_part()
+                body.shorten_first_part()
             link.send(call, self._compute_remaining(deadline))
             message = self._receive(link, call, deadline)
             if type(message) is Proceed:
-                message = self._send_remaining_body(
-                    link, call, remaining_body, deadline
-                )
+                message = self._send_remaining_body(link, call, body, deadline)
             return message
         except (LinkError, MessageError):
             return self._resolve_outcome(call, deadline)
@@ -263,11 +261,11 @@
             return RequestError(ErrorKind.TIMEOUT)
         return RequestError(ErrorKind.OUTCOME_UNKNOWN)
 
-    def _send_remaining_body(self, link, call, remaining_body, deadline):
+    def _send_remaining_body(self, link, call, body, deadline):
         """Send the remaining body and return the first message of the answer."""
         sender = PartSender(link, self._clock, self._pacer)
         try:
-            message = remaining_body.send(sender, deadline)
+            message = body.send(sender, deadline)
         except (CallerDisconnected, RequestError):
             # The abort keeps the other node from treating a truncated body as complete.
             link.abort()
@@ -318,6 +316,12 @@
         self._source = source
         self._has_more = call.more
         self._deferred = b""
+        self._sender = None
+
+    @property
+    def is_settled(self):
+        """Whether no message about the body can still come or is still expected."""
+        return self._sender is None or self._sender.is_complete
 
     def shorten_first_part(self):
         """Shorten the part in the call to REGIONAL_FIRST_BYTES and defer the rest."""
@@ -329,6 +333,7 @@
 
     def send(self, sender, deadline):
         """Send the remaining body; returns a message that ended it early, or None."""
+        self._sender = sender
         if self._deferred:
             message = sender.send(self._deferred, self._has_more, deadline)
             if message is not None:
--- a/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
+++ b/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
@@ -1,6 +1,7 @@
 """Sources of request bodies and sinks of answers, over HTTP and over links."""
 
 import abc
+import time
 
 from godwitrack.exceptions import (
     CallerDisconnected,
@@ -209,6 +210,35 @@
             self._acknowledge_part()
         return message.data
 
+    def drop(self, message):
+        """Drop a message if it is a part of the body that no one waits for any more.
+
+        Returns:
+            Whether it was dropped.
+        """
+        if type(message) is not Chunk or not self.is_open:
+            return False
+        self._is_complete = not message.more
+        return True
+
+    def drop_rest(self, timeout):
+        """Read and drop what is left of a body that was answered before its end.
+
+        The other node closes the link instead where it does not send the whole body.
+
+        Args:
+            timeout: Seconds to wait at most.
+
+        Raises:
+            LinkError: The link ended, or the end of the body did not come in time.
+            CallerDisconnected: Something else came.
+        """
+        deadline = time.monotonic() + timeout
+        while self.is_open:
+            message = self._link.receive(max(deadline - time.monotonic(), 0.0))
+            if not self.drop(message):
+                raise CallerDisconnected("the body broke off")
+
     def _acknowledge_part(self):
         try:
             self._link.send(Proceed(), BODY_TIMEOUT_SECONDS)
@@ -254,7 +284,10 @@
     def write(self, body, more):
         """Send a further part."""
         deadline = self._clock.read_monotonic() + BODY_TIMEOUT_SECONDS
-        if self._sender.send(body, more, deadline, self._due_at) is not None:
+        message = self._sender.send(body, more, deadline, self._due_at)
+        if message is None and not more:
+            message = self._sender.finish(deadline)
+        if message is not None:
             raise CallerDisconnected("the other node sent something else")
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/linkserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/linkserver.py
@@ -26,6 +26,9 @@
 HANDSHAKE_TIMEOUT_SECONDS = 5.0
 IDLE_TIMEOUT_SECONDS = 60.0
 SEND_TIMEOUT_SECONDS = 20.0
+# Time for the end of a body that was answered before, or for the other node to close
+# the link.
+REST_SECONDS = 2.0
 MAX_LINKS = 4096
 EMPTY_ANSWER = HttpAnswer(0, [], b"")
 
@@ -132,11 +135,11 @@
             reused.
     """
     check_headers(call.headers)
-    sink = guard.make_sink(link, call)
     source = LinkSource(link)
+    sink = guard.make_sink(link, call, source)
+    failure = None
     try:
         guard.run(call, source, sink)
-        return
     except RequestError as error:
         failure = error
     except (LinkError, CallerDisconnected, MessageError):
@@ -144,10 +147,13 @@
     except Exception:
         get_logger("links").exception("call failed", request_id=call.request_id)
         failure = RequestError(ErrorKind.INTERNAL)
-    load = guard.read_load().to_data()
-    link.send(Refused(failure.kind.value, failure.detail, load), SEND_TIMEOUT_SECONDS)
-    if sink.is_started or source.is_open:
+    if failure is not None:
+        load = guard.read_load().to_data()
+        refused = Refused(failure.kind.value, failure.detail, load)
+        link.send(refused, SEND_TIMEOUT_SECONDS)
+    if failure is not None and sink.is_started:
         raise CallerDisconnected("the exchange broke off")
+    source.drop_rest(REST_SECONDS)
 
 
 def serve_query(guard, link, query):
--- a/packages/godwitrack_node/src/godwitrack_node/pacing.py
+++ b/packages/godwitrack_node/src/godwitrack_node/pacing.py
@@ -133,22 +133,53 @@
 
     The receiver acknowledges each part but the last with Proceed. No more than
     WINDOW_PARTS are unacknowledged at a time, so that the rest of the body waits at
-    the sender.
+    the sender. The body has ended for both sides once the last part is sent and all
+    others are acknowledged: before that, the link can't carry another exchange.
     """
 
-    def __init__(self, link, clock, pacer=None):
+    def __init__(self, link, clock, pacer=None, drop=None):
         """Create a sender for one body.
 
         Args:
-            link: Link, on which the receiver sends nothing else meanwhile.
+            link: Link.
             clock: Clock.
             pacer: RegionalPacer if the link connects two regions, or None.
+            drop: Function of a message that returns whether it is one to drop; by
+                default none is.
         """
+        self._drop = drop
         self._link = link
         self._clock = clock
         self._pacer = pacer
         self._limit = REGIONAL_PART_BYTES if pacer else PART_BYTES
         self._sent_times = collections.deque()
+        self._is_last_sent = False
+
+    @property
+    def is_complete(self):
+        """Whether the whole body was sent and the receiver acknowledged it."""
+        return self._is_last_sent and not self._sent_times
+
+    def finish(self, deadline):
+        """Wait until the receiver has acknowledged all parts before the last one.
+
+        Args:
+            deadline: Monotonic time in seconds at which waiting fails.
+
+        Returns:
+            A message of the receiver that is no acknowledgement, or None.
+
+        Raises:
+            LinkError: The link failed, or an acknowledgement did not come in time.
+        """
+        while self._sent_times:
+            remaining = deadline - self._clock.read_monotonic()
+            if remaining <= 0:
+                raise LinkTimeout("the body was not acknowledged in time")
+            message = self._receive(remaining)
+            if message is not None:
+                return message
+        return None
 
     def send(self, body, more, deadline, due_at=None):
         """Send a part of the body, split into smaller parts if it is too large.
@@ -181,6 +212,7 @@
             self._link.send(Chunk(piece, has_next), max(remaining, 0.001))
             if has_next:
                 self._sent_times.append(self._clock.read_monotonic())
+        self._is_last_sent = not more
         return None
 
     def handle_message(self, message):
@@ -193,7 +225,8 @@
             The message if it is not a Proceed, else None.
         """
         if type(message) is not Proceed:
-            return message
+            is_dropped = self._drop is not None and self._drop(message)
+            return None if is_dropped else message
         if self._sent_times:
             sent_at = self._sent_times.popleft()
             if self._pacer is not None:
--- a/packages/godwitrack_node/src/godwitrack_node/serverguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverguard.py
@@ -33,10 +33,16 @@
         """Find the collaborators."""
         self._pacer = kernel.find("regional-pacer")
 
-    def make_sink(self, link, call):
-        """Return the LinkSink for the answer to a call that came over a link."""
+    def make_sink(self, link, call, source):
+        """Return the LinkSink for the answer to a call that came over a link.
+
+        Args:
+            link: Link.
+            call: Call or RoutedCall.
+            source: LinkSource of the call's body, which may still be on its way.
+        """
         pacer = self._pacer if call.is_regional else None
-        sender = PartSender(link, self._clock, pacer)
+        sender = PartSender(link, self._clock, pacer, source.drop)
         return LinkSink(link, call, self.read_load, sender, self._clock)
 
     @abc.abstractmethod
