--- a/packages/godwitrack/src/godwitrack/link.py
+++ b/packages/godwitrack/src/godwitrack/link.py
@@ -117,12 +117,9 @@
                 if frame.opcode not in (Opcode.PING, Opcode.PONG):
                     self.abort()
                     raise MessageError("expected an unfragmented binary frame")
-            remaining = None
-            if deadline is not None:
-                remaining = max(deadline - time.monotonic(), 0.0)
             if watch is not None:
-                self._wait(watch, remaining)
-            self._read(remaining)
+                self._wait(watch, _compute_remaining(deadline))
+            self._read(_compute_remaining(deadline))
 
     def has_input(self):
         """Return whether data or the end of the connection can be read now."""
@@ -160,9 +157,11 @@
 
     def _wait(self, watch, timeout):
         try:
-            wait_readable(self._socket, watch, timeout)
+            is_ready = wait_readable(self._socket, watch, timeout)
         except (OSError, ValueError) as error:
             raise LinkError(f"link failed: {error}") from None
+        if not is_ready:
+            raise LinkTimeout("nothing arrived in time")
 
     def _read(self, timeout):
         try:
@@ -195,6 +194,11 @@
         self.sent_bytes += len(data)
 
 
+def _compute_remaining(deadline):
+    """Return the seconds until a monotonic time, or None if there is none."""
+    return None if deadline is None else max(deadline - time.monotonic(), 0.0)
+
+
 class Authenticator:
     """Creates and checks the proofs that both nodes of a link know the secret."""
 
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -174,6 +174,7 @@
             try:
                 return link.receive(min(wait, remaining), self._watch)
             except LinkTimeout:
+                remaining = self._compute_remaining(deadline)
                 outcome = self._query_outcome(
                     call, min(remaining, self._compute_query_timeout(call))
                 )
@@ -211,19 +212,27 @@
         return QUERY_TIMEOUT_SECONDS
 
     def _query_outcome(self, call, timeout):
-        """Query the Outcome of a call over a new link; returns None if that fails."""
+        """Query the Outcome of a call over a new link; returns None if that fails.
+
+        All steps together end within `timeout` seconds, or once the caller leaves.
+        """
         if timeout <= 0:
             return None
+        deadline = self._clock.read_monotonic() + timeout
         try:
             link = self._pool.open(self._address, timeout)
         except LinkError:
             return None
         try:
-            link.send(Query(call.request_id, call.incarnation), timeout)
-            message = link.receive(timeout)
+            query = Query(call.request_id, call.incarnation)
+            link.send(query, self._compute_remaining(deadline))
+            message = link.receive(self._compute_remaining(deadline), self._watch)
         except (LinkError, MessageError):
             link.abort()
             return None
+        except CallerDisconnected:
+            link.abort()
+            raise
         if type(message) is not Outcome:
             link.abort()
             return None
