--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -8,6 +8,8 @@
 from godwitrack.logs import get_logger
 from godwitrack_node.hostedrouting import Member
 from godwitrack_node.memberrow import MemberRow
+from godwitrack_node.reportorder import ReportOrder, Verdict
+from godwitrack_node.serverreports import ReportResult
 from godwitrack_node.warmuprate import COLD_WINDOW_SECONDS
 
 # Health checks are billed, and reports and answers show most changes sooner.
@@ -75,12 +77,11 @@
         self._stopped = threading.Event()
         self._routes = None
         self._guard = None
-        self._born = -1
-        self._sequence = -1
-        self._reported_instance = ""
+        self._order = ReportOrder(report_seconds)
+        # A report that awaits a health answer of its process.
+        self._unproved_report = None
         self._slots = 1
         self._is_leaving = False
-        self._left_at_ms = {}
         self._cold_until = 0.0
         self._last_contact_at = None
         self._checked_at = CHECK_DUE_NOW
@@ -134,23 +135,76 @@
         """Apply a Report of the backend server.
 
         Returns:
-            Whether it was applied. An outdated report is ignored, and so is one of
-            another service or address or of a process that has left.
+            ReportResult. An outdated report is ignored, and so is one of another
+            service or address or of a process that has left. One that may be outdated
+            is undecided until a health answer proves it.
         """
+        if report.service != self._identity.service:
+            self._log.warning(
+                "report for another service ignored", service=report.service
+            )
+            return ReportResult.IGNORED
+        if report.address != self._address:
+            return ReportResult.IGNORED
+        verdict = self._judge(report)
+        if verdict is Verdict.IGNORE:
+            return ReportResult.IGNORED
+        if verdict is Verdict.PROVE:
+            return self._prove(report)
+        self._accept(report)
+        return ReportResult.APPLIED
+
+    def _judge(self, report):
         with self._lock:
-            if (report.born, report.sequence) <= (self._born, self._sequence):
-                return False
-            if report.service != self._identity.service:
-                self._log.warning(
-                    "report for another service ignored", service=report.service
-                )
-                return False
-            if report.address != self._address or self._has_left(report):
-                return False
-            is_new_process = report.born > self._born
-            self._born, self._sequence = report.born, report.sequence
-            self._reported_instance = report.instance
-            self._last_contact_at = self._clock.read_monotonic()
+            return self._order.judge(
+                report,
+                self.instance,
+                self._may_have_left(report.instance),
+                self._clock.read_monotonic(),
+            )
+
+    def _may_have_left(self, instance):
+        """Return whether a process may have left before this node started.
+
+        The row tells, which the last process of this node wrote before it acknowledged
+        that the server leaves.
+        """
+        if not self._row.is_known:
+            return True
+        stored = self._row.find_stored()
+        return (
+            stored is not None and stored.instance == instance and not stored.is_serving
+        )
+
+    def _prove(self, report):
+        """Let a health answer tell whether a report is outdated.
+
+        A process that leaves answers that it is not healthy. A report that it leaves is
+        proved before it is acknowledged, another one by the next health check.
+        """
+        if not report.is_leaving:
+            self._unproved_report = report
+            self._checked_at = CHECK_DUE_NOW
+            return ReportResult.UNDECIDED
+        now = self._clock.read_monotonic()
+        try:
+            health = self._guard.check_health(now + HEALTH_CHECK_TIMEOUT_SECONDS)
+        except RequestError as error:
+            self._log.info("report not proved", error=str(error))
+            return ReportResult.UNDECIDED
+        if health.is_healthy or health.instance not in ("", report.instance):
+            return ReportResult.IGNORED
+        self._accept(report)
+        return ReportResult.APPLIED
+
+    def _accept(self, report):
+        """Put a report in force."""
+        with self._lock:
+            now = self._clock.read_monotonic()
+            is_new_process = self._order.is_new_process(report)
+            self._order.record(report, now)
+            self._unproved_report = None
+            self._last_contact_at = now
             self._slots = report.slots
             self._set_cold(report.cold_seconds)
             changed = (self.instance, self._is_leaving) != (
@@ -166,7 +220,6 @@
             if report.is_leaving:
                 self._row.wait_until_current()
         self._guard.configure(self._slots, self.compute_cold_rate())
-        return True
 
     def apply_leave(self, instance):
         """Record that a process of the backend server leaves for good."""
@@ -179,7 +232,7 @@
 
         A report that it is ready may arrive later and has no effect.
         """
-        is_known = instance in self._left_at_ms and (
+        is_known = self._order.has_left(instance) and (
             instance != self.instance or self._is_leaving
         )
         if not is_known and self._mark_left(instance):
@@ -212,23 +265,13 @@
         """Mark a process as gone for good; return whether it was the present one."""
         with self._lock:
             is_present = instance == self.instance or not self.instance
-            # The start of a process that was only adopted is not known.
-            is_born_known = instance == self.instance == self._reported_instance
-            self._left_at_ms[instance] = (
-                self._born if is_born_known else self._clock.read_wall() * 1000
-            )
+            now_ms = self._clock.read_wall() * 1000
+            self._order.record_left(instance, self.instance, now_ms)
+            self._unproved_report = None
             if is_present:
                 self.instance, self._is_leaving = instance, True
             return is_present
 
-    def _has_left(self, report):
-        """Return whether the process of a report has left for good.
-
-        A process that starts later under the same id has not left.
-        """
-        left_at_ms = self._left_at_ms.get(report.instance)
-        return left_at_ms is not None and report.born <= left_at_ms
-
     def _set_cold(self, seconds):
         now = self._clock.read_monotonic()
         self._cold_until = now + seconds + COLD_MARGIN_SECONDS if seconds > 0 else 0.0
@@ -311,16 +354,19 @@
         if not self._was_checked:
             self._was_checked = True
             # A report that came before this answer may say better how the server is.
-            self.is_blocked = self._born < 0
+            self.is_blocked = not self._order.has_report
         self._apply_health(health, now)
 
     def _apply_health(self, health, now):
         if not health.is_healthy:
             return
+        report = self._unproved_report
+        if report is not None and report.instance == health.instance:
+            self._accept(report)
         if (
             not self.instance
             and health.slots
-            and health.instance not in self._left_at_ms
+            and not self._order.has_left(health.instance)
         ):
             self._adopt(health)
         if health.instance != self.instance:
--- a/packages/godwitrack_node/src/godwitrack_node/serverreports.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serverreports.py
@@ -1,5 +1,21 @@
 """Reports that a backend server sends, and its answers to health checks."""
 
+import enum
+
+
+class ReportResult(enum.Enum):
+    """What became of a report.
+
+    Attributes:
+        APPLIED: It is in force.
+        IGNORED: Something newer is in force.
+        UNDECIDED: It may be outdated, which a health answer has yet to tell.
+    """
+
+    APPLIED = "applied"
+    IGNORED = "ignored"
+    UNDECIDED = "undecided"
+
 
 class Report:
     """State of the backend server, as it reports it.
