Keep the answer of a finished request that could not be sent (LOST)

What callers saw: 502 for a request that ran and was answered, when the link broke while the answer was on its way. Cause: the failure to send marked the finished request as failed, so that the query about its outcome found no answer. The ledger now keeps a stored answer in any case; one without a stored answer counts as failed as before. The new test failed before.

--- a/packages/godwitrack_node/src/godwitrack_node/ledger.py
+++ b/packages/godwitrack_node/src/godwitrack_node/ledger.py
@@ -112,10 +112,13 @@
                 self._kept_bytes += len(answer.body)
 
     def fail(self, request_id):
-        """Record that a request may have run, but got no answer."""
+        """Record that a request may have run, but got no answer.
+
+        One whose answer is kept has finished, though the answer was not sent.
+        """
         with self._lock:
             entry = self._entries.get(request_id)
-            if entry is not None:
+            if entry is not None and entry.answer is None:
                 entry.state = OutcomeState.BROKEN
 
     def query(self, request_id):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -48,6 +48,17 @@
         ledger.claim("a")
 
 
+def test_a_kept_answer_that_could_not_be_sent_stays_available(clock):
+    """Guards against a 502 to a caller whose request ran and was answered (LOST)."""
+    ledger = Ledger(clock)
+    answer = HttpAnswer(200, [], b"done")
+    ledger.claim("a")
+    ledger.finish("a", answer)
+    ledger.fail("a")
+    assert ledger.query("a").state is OutcomeState.FINISHED
+    assert ledger.query("a").answer is answer
+
+
 def test_answers_are_kept_up_to_the_size_limit(clock):
     ledger = Ledger(clock)
     small = HttpAnswer(200, [], b"x")
