Wait in a planned stop for answers that the guard is still sending (LOST)

What callers saw: an answer from another node was cut when that node stopped, though its server had answered. Cause: the stop waited for requests at work at the server and for those of the node's own callers; an answer on its way to another node was neither. The guard now counts each call from its claim to the end of its answer.

--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -1,5 +1,7 @@
 """The guard of a hosted node: admits requests and runs them at the backend server."""
 
+import threading
+
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.load import Load
 from godwitrack.logs import get_logger
@@ -45,6 +47,8 @@
         self._is_stopping = False
         self._check_requested_at = 0.0
         self._running = {}
+        self._unfinished_lock = threading.Lock()
+        self._unfinished = 0
         self._log = get_logger("guard")
         self.admission = HostedAdmission(clock, measure=self._measure_slowness)
 
@@ -54,6 +58,11 @@
         self._routes = kernel.find("configurations")
         self._registration = kernel.find("registration")
 
+    @property
+    def unfinished(self):
+        """Number of calls that wait, run or whose answers are being sent."""
+        return self._unfinished
+
     def begin_stop(self):
         """Refuse new requests as not run; requests in flight continue."""
         self._is_stopping = True
@@ -137,6 +146,8 @@
         """Run a RoutedCall at the backend server; see ServerGuard.run."""
         # Claimed before it waits for admission, so that a query does not fence it.
         self.ledger.claim(call.request_id)
+        with self._unfinished_lock:
+            self._unfinished += 1
         try:
             self._run(call, source, sink)
         except RequestError as error:
@@ -146,6 +157,9 @@
         except Exception:
             self.ledger.fail(call.request_id)
             raise
+        finally:
+            with self._unfinished_lock:
+                self._unfinished -= 1
 
     def _run(self, call, source, sink):
         now = self._clock.read_monotonic()
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -263,7 +263,7 @@
 
     def _count_in_flight(self):
         guard = self.kernel.find("guard")
-        return guard.admission.in_flight + self.kernel.find("metrics").active
+        return guard.unfinished + self.kernel.find("metrics").active
 
     def _register(self, settings, adapter):
         clock, executor, identity = self._clock, self._executor, self.identity
--- a/tests/test_plannedstop.py
+++ b/tests/test_plannedstop.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cluster import Cluster, call
+from godwitrack_node.hostednode import NOTICE_SECONDS
 from hostedfleet import RESOURCES, ask, list_runs
 from operatorsrows import make_config, make_route
 from testcaller import Caller, make_request_headers, wait_for
@@ -26,16 +27,21 @@
 BODY_SECONDS = [1.0, 3.0, 3.8]
 
 
-@pytest.fixture
-def stopping(fleet):
-    """The first machine of a fleet, and a function that begins its planned stop."""
-    machine = fleet.machines[0]
+def put_long_routes(fleet):
+    """Put routes with long timeouts in force at all nodes."""
     fleet.store.put("op", "config", make_config(9, *RESOURCES, *LONG_ROUTES))
     wait_for(
         lambda: all(
             m.find("configurations").table.revision == 9 for m in fleet.machines
         )
     )
+
+
+@pytest.fixture
+def stopping(fleet):
+    """The first machine of a fleet, and a function that begins its planned stop."""
+    machine = fleet.machines[0]
+    put_long_routes(fleet)
     machine.settings.stop_seconds = STOP_SECONDS
     stopper = threading.Thread(target=machine.node.stop)
     yield machine, stopper.start
@@ -127,3 +133,37 @@
     assert cut == 0
     assert endings["cut"] == 0
     assert set(endings) <= {200, 503}
+
+
+ANSWER_BYTES = 8 * 2**20
+
+
+def answer_at_length(request_id, connection, sock):
+    """Send a long answer; a FakeBackendServer's behave function."""
+    headers = [
+        ("Godwitrack-Request-Id", request_id),
+        ("Godwitrack-Server-Signature", "s"),
+    ]
+    connection.start_answer(200, headers, ANSWER_BYTES, bytes(ANSWER_BYTES))
+    return True
+
+
+def test_an_answer_that_is_sent_to_another_node_outlasts_the_wait_of_a_stop(fleet):
+    """Guards against a stop that counts only requests at work at the server (LOST)."""
+    entry, target = fleet.machines[0], fleet.machines[1]
+    put_long_routes(fleet)
+    target.app.behave = answer_at_length
+    caller = Caller(entry.settings.callers)
+    headers = make_request_headers("slow", LONG_SECONDS)
+    caller.send("POST", "/remote/1", headers=headers)
+    wait_for(lambda: list_runs(fleet, "slow"))
+    # The caller reads nothing, so that its node and then the link are full.
+    time.sleep(0.2)
+    stopper = threading.Thread(target=target.node.stop)
+    stopper.start()
+    time.sleep(NOTICE_SECONDS + 0.4)
+    answer = caller.read()
+    caller.close()
+    stopper.join()
+    assert answer.status == 200
+    assert len(answer.body) == ANSWER_BYTES
