--- a/packages/godwitrack_node/src/godwitrack_node/registration.py
+++ b/packages/godwitrack_node/src/godwitrack_node/registration.py
@@ -6,6 +6,7 @@
 from godwitrack.feed import FeedTable
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
+from godwitrack_node.coldperiod import ColdPeriod
 from godwitrack_node.hostedrouting import Member
 from godwitrack_node.memberrow import MemberRow
 from godwitrack_node.reportorder import ReportOrder, Verdict
@@ -23,9 +24,6 @@
 # Stands for a last check so long ago that the next one is due at once.
 CHECK_DUE_NOW = 0.0
 MAX_MISSED_REPORTS = 3
-# Added to the remaining warm-up time that a server states, which is out of date by the
-# transit time of its message.
-COLD_MARGIN_SECONDS = 0.2
 # Applies while no routes are known that state the warm-up rate of the service.
 DEFAULT_COLD_REQUESTS_PER_SECOND = 1.0
 
@@ -82,7 +80,7 @@
         self._unproved_report = None
         self._slots = 1
         self._is_leaving = False
-        self._cold_until = 0.0
+        self._cold_period = ColdPeriod(clock)
         self._last_contact_at = None
         self._checked_at = CHECK_DUE_NOW
         # Until the first answer to a health check, a limit that the server named to an
@@ -124,7 +122,7 @@
 
     def compute_cold_rate(self):
         """Return the cold server's rate in requests a second, or None if it is warm."""
-        if self._clock.read_monotonic() >= self._cold_until:
+        if self._cold_period.is_over:
             return None
         limits = self._routes.get_limits(self._identity.service)
         if limits is None:
@@ -206,13 +204,16 @@
             self._unproved_report = None
             self._last_contact_at = now
             self._slots = report.slots
-            self._set_cold(report.cold_seconds)
+            self._cold_period.extend(report.cold_seconds)
             changed = (self.instance, self._is_leaving) != (
                 report.instance,
                 report.is_leaving,
             )
             self.instance, self._is_leaving = report.instance, report.is_leaving
         self._decide_cold_hold()
+        if report.cold_seconds <= 0 and not self._cold_period.is_over:
+            # The report may be from before the server turned cold.
+            self._checked_at = CHECK_DUE_NOW
         if is_new_process and self._was_checked:
             self.is_blocked = False
         if is_new_process or changed:
@@ -246,7 +247,7 @@
         """
         limits = self._routes.get_limits(self._identity.service)
         if limits is not None:
-            self._set_cold(limits.warmup_seconds)
+            self._cold_period.extend(limits.warmup_seconds)
             self._guard.configure(self._slots, self.compute_cold_rate())
         self._checked_at = CHECK_DUE_NOW
         self._log.info("backend server suspected", reason=reason)
@@ -272,10 +273,6 @@
                 self.instance, self._is_leaving = instance, True
             return is_present
 
-    def _set_cold(self, seconds):
-        now = self._clock.read_monotonic()
-        self._cold_until = now + seconds + COLD_MARGIN_SECONDS if seconds > 0 else 0.0
-
     def _signal_change(self, cause, **values):
         self._log.info(
             "backend server",
@@ -373,7 +370,7 @@
             self.is_blocked = True
             return
         self._last_contact_at = now
-        self._set_cold(health.cold_seconds or 0.0)
+        self._cold_period.set(health.cold_seconds or 0.0)
         if self.is_blocked:
             self._log.info("backend server is back", instance=self.instance)
         self.is_blocked = False
--- a/tests/test_reportorder.py
+++ b/tests/test_reportorder.py
@@ -176,3 +176,26 @@
     machine.app.born = born
     assert status == 200
     assert ask(fleet.machines[0], "/lamp/1", "still").status == 200
+
+
+def test_a_late_report_makes_no_cold_server_warm(fleet):
+    """Guards against the full rate to a server that has just turned cold (FAILBACK)."""
+    machine = fleet.machines[1]
+    registration = machine.find("registration")
+    assert machine.report() == 200
+    machine.app.cold_seconds = 10.0
+    wait_for(lambda: registration.compute_cold_rate() is not None)
+    rates = []
+    for _ in range(20):
+        machine.app.sequence += 1
+        late = make_report(machine.app.born, machine.app.sequence + 1000)
+        late.instance, late.service = machine.app.instance, machine.app.service
+        late.address = str(machine.app.address)
+        late.sequence = machine.app.sequence
+        registration.apply_report(late)
+        rates.append(registration.compute_cold_rate())
+        time.sleep(0.01)
+    assert None not in rates
+    # A health answer tells that the server is warm.
+    machine.app.cold_seconds = 0.0
+    wait_for(lambda: registration.compute_cold_rate() is None)
