--- a/soak/soakchecks.py
+++ b/soak/soakchecks.py
@@ -215,7 +215,8 @@
             moments = [
                 run.received_at
                 for run in self.runs
-                if run.instance == server.instance and run.received_at < server.warm_at
+                if run.instance == server.instance
+                and server.started_at <= run.received_at < server.warm_at
             ]
             peak = count_peak(moments, RATE_WINDOW_SECONDS)
             if peak > bound:
--- a/soak/soakfaults.py
+++ b/soak/soakfaults.py
@@ -20,6 +20,8 @@
 PROCESS_KINDS = frozenset(
     (FaultKind.NODE_KILL, FaultKind.NODE_PAUSE, FaultKind.NODE_STOP)
 )
+# Step of a VM's clock before a server starts again under its id.
+CLOCK_STEP_SECONDS = 2.0
 # Time for which the store is away while it is restored from a copy.
 RESTORATION_SECONDS = 0.3
 CUT_DIRECTIONS = {
@@ -82,6 +84,8 @@
             FaultKind.SERVER_BREAKS: self._break_server_answers,
             FaultKind.SERVER_CUTS_HEADS: self._cut_server_heads,
             FaultKind.STORE_RESTORED: self._restore_store,
+            FaultKind.REPORT_LATE: self._delay_report,
+            FaultKind.SERVER_REBORN: self._bear_server_again,
         }
         self.applied_faults = []
 
@@ -184,6 +188,21 @@
             time.sleep(fault.seconds)
             machine.start_server(clock_jump=fault.strength)
 
+    def _delay_report(self, fault, machine):
+        """Deliver a report after later ones, and perhaps after its sender has left."""
+        server = machine.server
+        report = machine.make_report(server)
+        time.sleep(fault.seconds)
+        machine.deliver_report(server, report)
+
+    def _bear_server_again(self, fault, machine):
+        """Start a server under its last id, after its VM's clock went back."""
+        with self._server_locks[fault.node]:
+            instance = machine.server.instance
+            machine.stop_server()
+            time.sleep(fault.seconds)
+            machine.start_server(clock_jump=-CLOCK_STEP_SECONDS, instance=instance)
+
     def _slow_server(self, fault, machine):
         server = machine.server
         server.seconds = fault.strength
--- a/soak/soakmachine.py
+++ b/soak/soakmachine.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from fakebackend import send_report
+from fakebackend import deliver_report, make_report, send_report
 from fakeplatform import SETTINGS
 from godwitrack.address import Address
 from soakplan import PathName
@@ -165,12 +165,13 @@
         if process.pid not in self._killed_pids and status not in allowed:
             self.bad_exits.append(status)
 
-    def start_server(self, is_cold=True, clock_jump=0.0):
+    def start_server(self, is_cold=True, clock_jump=0.0, instance=""):
         """Start a new process of the backend server.
 
         Args:
             is_cold: Whether it needs to warm up.
             clock_jump: Seconds by which the VM's wall clock has jumped.
+            instance: Id of the process; a new one by default.
         """
         self._clock_jump += clock_jump
         server = SoakServer(
@@ -178,7 +179,7 @@
             self._fleet.runs,
             self.number,
             self.spec.service,
-            f"i-{self.number}-{len(self.servers)}",
+            instance or f"i-{self.number}-{len(self.servers)}",
             Address(self._ip, SERVER_PORT),
         )
         server.born = int((time.time() + self._clock_jump) * 1000)
@@ -200,6 +201,19 @@
                 return
             self._closed.wait(HEARTBEAT_SECONDS)
 
+    def make_report(self, server):
+        """Return a report of a server that is ready, as bytes to deliver later."""
+        return make_report(
+            server, self.spec.data_centre, "ready", address=self._server_address
+        )
+
+    def deliver_report(self, server, report):
+        """Send the bytes of a report to the node, if it listens."""
+        try:
+            deliver_report(Address(self._ip, REPORTS_PORT), server.instance, report)
+        except OSError:
+            return
+
     def close(self):
         """Stop the node, the backend server and the proxies."""
         self._closed.set()
--- a/soak/soakplan.py
+++ b/soak/soakplan.py
@@ -33,6 +33,8 @@
     SERVER_BREAKS = "server_breaks"
     SERVER_CUTS_HEADS = "server_cuts_heads"
     STORE_RESTORED = "store_restored"
+    REPORT_LATE = "report_late"
+    SERVER_REBORN = "server_reborn"
 
 
 class PathName(enum.Enum):
@@ -71,6 +73,8 @@
 LATER_DURATIONS_AND_WEIGHTS = {
     FaultKind.SERVER_CUTS_HEADS: (0.3, 2.0, 1),
     FaultKind.STORE_RESTORED: (0.5, 4.0, 2),
+    FaultKind.REPORT_LATE: (0.3, 4.0, 3),
+    FaultKind.SERVER_REBORN: (0.1, 1.0, 1),
 }
 # One fault of the later kinds for so many others.
 LATER_SHARE = 4
--- a/soak/soakserver.py
+++ b/soak/soakserver.py
@@ -1,9 +1,13 @@
 """A backend server of a soak run that records the requests it executes."""
 
 import time
+import zlib
 
 from fakebackend import FakeBackendServer
 
+# One answer in so many is long.
+LONG_ANSWER_SHARE = 25
+LONG_ANSWER_BYTES = 700_000
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nGodwitrack-Server-Signature: s\r\nContent-Len"
 
 
@@ -107,5 +111,11 @@
 
 
 def make_answer_text(request_id, length):
-    """Return the answer text that identifies a request and the length of its body."""
-    return f"{request_id} {length}".encode()
+    """Return the answer text that identifies a request and the length of its body.
+
+    Some answers are long; a request's id tells which.
+    """
+    text = f"{request_id} {length}".encode()
+    if zlib.crc32(request_id.encode()) % LONG_ANSWER_SHARE:
+        return text
+    return (text + b" ") * (LONG_ANSWER_BYTES // len(text))
--- /dev/null
+++ b/tests/feedparts.py
@@ -0,0 +1,48 @@
+"""Parts around a FeedSync in tests that need no node: members, kernel, replica."""
+
+from godwitrack.feed import FeedPage, FeedRow, FeedTable
+from godwitrack_node.feedsync import FeedSync
+from godwitrack_node.hostedrouting import Member, MemberView
+from godwitrack_node.routing import Location
+
+# The platform's bound on the time until a change is in force everywhere.
+APPLY_SECONDS = 2.5
+
+
+class FakeMembers:
+    """A member table with the nodes at some addresses."""
+
+    def __init__(self, addresses):
+        self._views = {
+            address: MemberView(
+                Member(address, "scenbok", "north", "dc-a", 10, True, "i", 1)
+            )
+            for address in addresses
+        }
+
+    def list_members(self):
+        return [view.member for view in self._views.values()]
+
+    def get_view(self, address):
+        return self._views[address]
+
+
+class FakeKernel:
+    """Finds the services that a FeedSync uses."""
+
+    def __init__(self, pool, members):
+        self._services = {"link-pool": pool, "member-table": members}
+
+    def find(self, name):
+        return self._services[name]
+
+
+def make_feed_sync(clock, own_address, members, store, pool=None, version=5):
+    """Return a FeedSync and its replica of the operators' table at a version."""
+    location = Location("north", "dc-a")
+    feed_sync = FeedSync(clock, None, store, own_address, location, APPLY_SECONDS)
+    feed_sync.connect(FakeKernel(pool, FakeMembers(members)))
+    replica = feed_sync.get_replica(FeedTable.OPERATORS)
+    if version >= 0:
+        replica.merge(FeedPage([FeedRow("config", version, b"")], version, True))
+    return feed_sync, replica
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -7,6 +7,7 @@
 
 from fakeplatform import APPLY_SECONDS
 from fakestore import FakeStore
+from feedparts import make_feed_sync
 from godwitrack.exceptions import StoreError
 from godwitrack.feed import (
     FeedPage,
@@ -26,7 +27,6 @@
 from godwitrack_platform.store import PAGE_ROWS, PlatformStore
 from hostedfleet import RESOURCES, ask
 from operatorsrows import make_config, make_route
-from test_feedfreshness import make_feed_sync
 from testcaller import wait_for
 
 NEW_ROUTE = make_route("new", "/new/", "scenbok")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,6 +132,7 @@
         self.instance = instance
         self.started_cold = started_cold
         self.draining_since = draining_since
+        self.started_at = 100.0
         self.warm_at = 102.0
 
 
