Show two faults of the review's list that stay: the links' secret, and a late DELETE

Not fixed in this change: the first needs both secrets to be accepted during an upgrade, the second evidence that a DELETE itself does not carry.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -126,6 +126,25 @@
     assert len(secrets) == 2
 
 
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("[platform]", '[platform]\nregion = "sve-syd"'),
+        ("[zones]", '[zones]\nlulea-a = "sve-norr"'),
+    ],
+    ids=["new field", "new data centre"],
+)
+def test_nodes_started_before_and_after_a_change_share_a_secret(tmp_path, old, new):
+    """Guards against links that are refused during a rolling change of settings."""
+    assert old in SETTINGS
+    secrets = set()
+    for number, text in enumerate((SETTINGS, SETTINGS.replace(old, new))):
+        path = tmp_path / f"{number}.toml"
+        path.write_text(text)
+        secrets.add(load_platform_settings(path).node.secret)
+    assert len(secrets) == 1
+
+
 def test_a_route_is_read():
     table = PlatformOperatorsRowReader().read_routes(make_row(ROUTE))
     assert table.revision == 7
--- a/tests/test_reportorder.py
+++ b/tests/test_reportorder.py
@@ -199,3 +199,14 @@
     # A health answer tells that the server is warm.
     machine.app.cold_seconds = 0.0
     wait_for(lambda: registration.compute_cold_rate() is None)
+
+
+def test_a_late_deregistration_of_an_earlier_process_takes_no_server_out(fleet):
+    """It names the id that the present process has, too, and no start."""
+    machine = fleet.machines[1]
+    machine.app.born += 1
+    machine.app.sequence = 0
+    assert machine.report() == 200
+    assert machine.leave() == 200
+    time.sleep(2 * REPORT_SECONDS)
+    assert ask(fleet.machines[0], "/lamp/1", "still").status == 200
