--- a/soak/soakfaults.py
+++ b/soak/soakfaults.py
@@ -224,17 +224,17 @@
 
 def may_end_link(fault, node):
     """Return whether a fault may end a link over which a node answers another."""
-    if fault.node != node:
-        return False
-    return fault.kind in PROCESS_KINDS - {FaultKind.NODE_STOP} or (
-        fault.kind.value.startswith("path") and fault.path is PathName.LINKS
-    )
+    return _may_end_connection(fault, node, PathName.LINKS)
 
 
 def may_end_caller_connection(fault, node):
     """Return whether a fault may end a caller's connection to a node."""
+    return _may_end_connection(fault, node, PathName.CALLERS)
+
+
+def _may_end_connection(fault, node, path):
     if fault.node != node:
         return False
     return fault.kind in PROCESS_KINDS - {FaultKind.NODE_STOP} or (
-        fault.kind.value.startswith("path") and fault.path is PathName.CALLERS
+        fault.kind.value.startswith("path") and fault.path is path
     )
