--- a/packages/godwitrack/src/godwitrack/watch.py
+++ b/packages/godwitrack/src/godwitrack/watch.py
@@ -10,8 +10,8 @@
 class Watch:
     """Detects that the remote side closed a connection.
 
-    Data that the remote side sends stays unread. While unread data is pending, a
-    closed connection is not detected.
+    Data that the remote side sends stays unread. While unread data is pending, only a
+    reset is detected.
     """
 
     __slots__ = ("_socket",)
@@ -28,18 +28,25 @@
         try:
             # recv on a socket with a timeout waits for data whatever its flags, so
             # the socket is polled first.
-            if not has_input(self._socket):
-                return False
-            return not self._socket.recv(1, socket.MSG_PEEK)
+            events = _poll_input(self._socket)
+            if events & (select.POLLERR | select.POLLNVAL):
+                return True
+            return bool(events) and not self._socket.recv(1, socket.MSG_PEEK)
         except (OSError, ValueError):
             return True
 
 
 def has_input(sock):
     """Return whether data or the end of the connection can be read now."""
+    return _poll_input(sock) != 0
+
+
+def _poll_input(sock):
+    """Return the mask of poll events of a socket for input and failures."""
     poller = select.poll()
     poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
+    ready = poller.poll(0)
+    return ready[0][1] if ready else 0
 
 
 def wait_readable(sock, watch, timeout, events=select.POLLIN):
--- a/packages/godwitrack_node/src/godwitrack_node/backend.py
+++ b/packages/godwitrack_node/src/godwitrack_node/backend.py
@@ -4,7 +4,7 @@
 
 import pycurl
 
-from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.store import HEAD_ENDS
 from godwitrack_node.backendrequest import BackendRequest
 
@@ -67,7 +67,7 @@
             on_head: Called once with status, headers and length (-1 if unknown).
             on_body: Called with each part of the body.
             before_send: Called before the first byte is sent; nothing is sent if it
-                raises RequestError.
+                raises RequestError or CallerDisconnected.
 
         Raises:
             RequestError: BACKEND_UNREACHABLE if it was not sent, SERVER_BUSY if all
@@ -218,7 +218,7 @@
         if self._before_send is not None:
             try:
                 self._before_send()
-            except RequestError as error:
+            except (RequestError, CallerDisconnected) as error:
                 self._failure = error
                 return pycurl.PREREQFUNC_ABORT
         return pycurl.PREREQFUNC_OK
--- a/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
+++ b/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
@@ -37,6 +37,17 @@
     def proceed(self):
         """Ask the sender for the rest of the body; does nothing by default."""
 
+    def check_sender(self):
+        """Check that the sender of the request still waits for its answer.
+
+        A process that stood still reads requests whose senders gave up meanwhile.
+
+        Raises:
+            CallerDisconnected: The sender closed the connection.
+        """
+        if self.watch is not None and self.watch.is_disconnected():
+            raise CallerDisconnected("the sender of the request left")
+
 
 class AnswerSink(abc.ABC):
     """Writes an answer part by part.
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -147,6 +147,7 @@
         body, more = read_first_part(source, request)
         # The body may have taken until the node began to refuse requests.
         self.check_accepting()
+        source.check_sender()
         source.is_consumed = False
         sink = CallerSink(
             connection,
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -191,6 +191,7 @@
 
         def claim():
             self._lease.check()
+            source.check_sender()
             self.ledger.claim(call.request_id)
 
         if call.more:
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -2,7 +2,7 @@
 
 from godwitrack.bytebudget import ByteBudget
 from godwitrack.callmessages import RoutedCall
-from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
+from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.logs import get_logger
 from godwitrack_node.attempt import (
     LocalAttempt,
@@ -108,6 +108,7 @@
         body, more = read_first_part(source, request, BUFFERED_BODY_BYTES)
         # The body may have taken until the node began to refuse requests.
         self.check_accepting()
+        source.check_sender()
         source.is_consumed = False
         sink = CallerSink(
             connection, request, None, entry_request.retry_rule.may_replace
@@ -173,10 +174,7 @@
                 if error.kind is ErrorKind.SERVER_SLOW:
                     entry_request.slow_members[entry_request.server] = view.member
                 self._log_attempt(entry_request, error)
-                if source.watch.is_disconnected():
-                    raise CallerDisconnected(
-                        "the caller left during an attempt"
-                    ) from None
+                source.check_sender()
                 if not error.answer.not_run:
                     # The traceback would keep this frame, and so the body, until the
                     # garbage collector runs.
--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.load import Load
 from godwitrack.logs import get_logger
 from godwitrack_node.answer import HttpAnswer
@@ -185,8 +185,10 @@
         is_answered = False
         self._running[call.caller_id] = call.is_repeat
         try:
-            # The backend server may have begun to leave while the request waited.
+            # The backend server may have begun to leave while the request waited, and
+            # the caller may have left while this process stood still.
             self._check_eligibility(call)
+            self._check_sender(call, source)
             answer = self._send(call, source, deadline)
             slowness = self._record_answer_slowness(answer)
             self._check_answer(answer)
@@ -222,6 +224,14 @@
                 ErrorKind.BACKEND_UNREACHABLE, "waits for a health check"
             )
 
+    def _check_sender(self, call, source):
+        """Raise CallerDisconnected, and fence the call, if its sender left."""
+        try:
+            source.check_sender()
+        except CallerDisconnected:
+            self.ledger.withdraw(call.request_id)
+            raise
+
     def _send(self, call, source, deadline):
         """Send the request and return the backend server's HttpAnswer."""
         instance = self._registration.instance
--- a/packages/godwitrack_node/src/godwitrack_node/ledger.py
+++ b/packages/godwitrack_node/src/godwitrack_node/ledger.py
@@ -114,11 +114,14 @@
     def fail(self, request_id):
         """Record that a request may have run, but got no answer.
 
-        One whose answer is kept has finished, though the answer was not sent.
+        One whose answer is kept has finished, though the answer was not sent. One that
+        was withdrawn did not run.
         """
         with self._lock:
             entry = self._entries.get(request_id)
-            if entry is not None and entry.answer is None:
+            if entry is None or entry.state is OutcomeState.FENCED:
+                return
+            if entry.answer is None:
                 entry.state = OutcomeState.BROKEN
 
     def query(self, request_id):
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitrack.address import Address
-from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack_lab.deployment import find_ports
 from godwitrack_node.backend import BackendClient, TimedRequest
 
@@ -125,3 +125,21 @@
         send(client)
     assert caught.value.kind is ErrorKind.BACKEND_UNREACHABLE
     assert caught.value.answer.not_run
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [RequestError(ErrorKind.STALE_INCARNATION), CallerDisconnected("left")],
+    ids=["refused", "caller left"],
+)
+def test_a_request_that_may_not_be_sent_is_not_sent(make_server, failure):
+    server = make_server(GOOD)
+    client = BackendClient(server.address, 4)
+
+    def refuse():
+        raise failure
+
+    request = TimedRequest("POST", "/x", [], b"", 0, None, 5.0)
+    with pytest.raises(type(failure)):
+        client.send(request, lambda *head: None, lambda body: None, refuse)
+    assert server.requests == 0
