--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -128,18 +128,17 @@
 
 
 @pytest.mark.parametrize(
-    "failure",
-    [RequestError(ErrorKind.STALE_INCARNATION), CallerDisconnected("left")],
-    ids=["refused", "caller left"],
+    ("error_class", "cause"),
+    [(RequestError, ErrorKind.STALE_INCARNATION), (CallerDisconnected, "left")],
 )
-def test_a_request_that_may_not_be_sent_is_not_sent(make_server, failure):
+def test_a_request_that_may_not_be_sent_is_not_sent(make_server, error_class, cause):
     server = make_server(GOOD)
     client = BackendClient(server.address, 4)
 
     def refuse():
-        raise failure
+        raise error_class(cause)
 
     request = TimedRequest("POST", "/x", [], b"", 0, None, 5.0)
-    with pytest.raises(type(failure)):
+    with pytest.raises(error_class):
         client.send(request, lambda *head: None, lambda body: None, refuse)
     assert server.requests == 0
