--- a/packages/godwitrack/src/godwitrack/controlmessages.py
+++ b/packages/godwitrack/src/godwitrack/controlmessages.py
@@ -113,6 +113,14 @@
     __slots__ = tuple(name for name, _ in FIELDS)
 
 
+class FeedPending(Message):
+    """Says that a page is arriving from the store, but is not whole yet."""
+
+    TAG = 19
+    FIELDS = (("table", int),)
+    __slots__ = ("table",)
+
+
 class FeedAnswer(Message):
     """Changes to a table as rows of key, version and bytes or None.
 
--- a/packages/godwitrack/src/godwitrack/feed.py
+++ b/packages/godwitrack/src/godwitrack/feed.py
@@ -108,22 +108,29 @@
     """The part of the platform's store that nodes use."""
 
     @abc.abstractmethod
-    def read_all(self, table):
+    def read_all(self, table, on_data=None):
         """Return a FeedPage of all rows of a FeedTable.
 
+        Args:
+            table: FeedTable.
+            on_data: Function called after each part of an answer with the number of
+                its bytes so far, or None.
+
         Raises:
             StoreError: No usable answer came.
         """
 
     @abc.abstractmethod
-    def read_changes(self, table, after, wait, timeout):
+    def read_changes(self, table, after, wait, timeout, on_data=None):
         """Return a FeedPage of the rows that changed after a version.
 
         Args:
             table: FeedTable.
             after: Version up to which the reader has all changes.
             wait: Seconds to wait for a first change.
-            timeout: Seconds after which the read has failed.
+            timeout: Seconds after which the read has failed if no answer began.
+            on_data: Function called after each part of an answer with the number of
+                its bytes so far, or None.
 
         Returns:
             The FeedPage. Its version names the store's present era. In another era than
--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -17,6 +17,7 @@
     ChangesRequest,
     DigestRequest,
     FeedAnswer,
+    FeedPending,
     FeedRequest,
     Ping,
     Pong,
@@ -47,6 +48,7 @@
         RoutedCall,
         FeedRequest,
         FeedAnswer,
+        FeedPending,
     )
 }
 
--- a/packages/godwitrack/src/godwitrack/routetable.py
+++ b/packages/godwitrack/src/godwitrack/routetable.py
@@ -157,6 +157,11 @@
             for host, host_routes in self._routes_by_host.items()
         }
 
+    @property
+    def route_count(self):
+        """Number of the HostRoutes."""
+        return sum(map(len, self._routes_by_host.values()))
+
     @property
     def routes(self):
         """All HostRoutes, as a list."""
--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -8,6 +8,7 @@
 import pycurl
 
 from godwitrack.exceptions import ConflictError, StoreError
+from godwitrack.transfer import TransferLimits, TransferRunner
 
 # TCP keepalive detects a dead connection even while no data is sent on it.
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -125,13 +126,19 @@
 class _Receiver:
     """Receives one response; libcurl aborts the transfer if it is too large."""
 
-    def __init__(self, max_body_bytes):
+    def __init__(self, max_body_bytes, on_data):
         self._max_body_bytes = max_body_bytes
+        self._on_data = on_data
         self._head_bytes = 0
         self.body = bytearray()
         self.header_lines = []
         self.failure_detail = ""
 
+    @property
+    def received_bytes(self):
+        """Bytes received so far, of heads and body."""
+        return self._head_bytes + len(self.body)
+
     def receive_header(self, line):
         """Store a line of a head or trailer; called by libcurl."""
         self._head_bytes += len(line)
@@ -150,24 +157,30 @@
             self.failure_detail = f"more than {self._max_body_bytes} bytes in the body"
             return -1
         self.body += data
+        if self._on_data is not None:
+            self._on_data(len(self.body))
         return None
 
 
 class HttpClient:
-    """Sends HTTP requests; each thread reuses its own libcurl handle."""
+    """Sends HTTP requests; each thread reuses its own connections."""
 
-    def __init__(self, timeout, max_body_bytes=MAX_BODY_BYTES):
+    def __init__(self, timeout, max_body_bytes=MAX_BODY_BYTES, total_timeout=None):
         """Create a client.
 
         Args:
-            timeout: Seconds allowed for one request.
+            timeout: Seconds within which a response must begin, and the longest pause
+                in it.
             max_body_bytes: Bytes of the body of a response; larger ones are an error.
+            total_timeout: Seconds allowed for a request whose response goes on
+                arriving; `timeout` by default.
         """
         self._max_body_bytes = max_body_bytes
-        self._timeout_ms = max(int(timeout * 1000), 1)
+        self._timeout = timeout
+        self._total_timeout = timeout if total_timeout is None else total_timeout
         self._local = threading.local()
 
-    def fetch(self, method, url, body=None, headers=(), timeout=None):
+    def fetch(self, method, url, body=None, headers=(), timeout=None, on_data=None):
         """Send a request and return the HttpResponse.
 
         Args:
@@ -175,19 +188,21 @@
             url: Complete URL.
             body: Bytes to send, or None.
             headers: Header lines to send.
-            timeout: Seconds allowed; by default the timeout of the client.
+            timeout: Seconds within which the response must begin; by default the
+                timeout of the client.
+            on_data: Function called after each part of the body with the number of
+                bytes so far, or None.
 
         Raises:
             StoreError: The transfer failed or timed out, or the response is too large.
         """
-        handle = getattr(self._local, "handle", None)
-        if handle is None:
-            handle = self._local.handle = pycurl.Curl()
+        if not hasattr(self._local, "handle"):
+            self._local.handle = pycurl.Curl()
+            self._local.runner = TransferRunner()
+        handle = self._local.handle
         handle.reset()
         handle.setopt(pycurl.URL, url)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
-        timeout_ms = self._timeout_ms if timeout is None else int(timeout * 1000)
-        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         handle.setopt(pycurl.TCP_KEEPALIVE, 1)
         handle.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS)
         handle.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
@@ -199,15 +214,19 @@
         handle.setopt(pycurl.HTTPHEADER, ["Expect:", *headers])
         if body is not None:
             handle.setopt(pycurl.POSTFIELDS, body)
-        receiver = _Receiver(self._max_body_bytes)
+        receiver = _Receiver(self._max_body_bytes, on_data)
         # Refuses a stated length that is too large before the body is sent.
         handle.setopt(pycurl.MAXFILESIZE_LARGE, self._max_body_bytes)
         handle.setopt(pycurl.WRITEFUNCTION, receiver.receive_body)
         handle.setopt(pycurl.HEADERFUNCTION, receiver.receive_header)
+        begin_seconds = self._timeout if timeout is None else timeout
+        limits = TransferLimits(
+            begin_seconds, self._timeout, max(self._total_timeout, begin_seconds)
+        )
         try:
-            handle.perform()
-        except pycurl.error as error:
-            detail = receiver.failure_detail or error.args[1]
+            self._local.runner.run(handle, limits, lambda: receiver.received_bytes)
+        except StoreError as error:
+            detail = receiver.failure_detail or error
             raise StoreError(f"{method} {url}: {detail}") from None
         finally:
             # The handle would keep the last response until the next request.
--- a/packages/godwitrack_node/src/godwitrack_node/feedfreshness.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedfreshness.py
@@ -21,6 +21,9 @@
 # Timeout of the store's answer once the content is too old already; in an outage of
 # the store a shorter one would gain nothing.
 OVERDUE_TIMEOUT_SECONDS = 1.5
+# Half of a link of 30 Mbit/s between regions, which requests share.
+NARROW_LINK_BYTES_PER_SECOND = 1.9e6
+MAX_SPREAD_SECONDS = 1.0
 # The fleet's rows only help to choose servers; each guard enforces the rules itself.
 FLEET_AGE_SECONDS = 10.0
 MAX_FLEET_WAIT_SECONDS = 6.0
@@ -77,6 +80,16 @@
         wait = min(remaining - STORE_MARGIN_SECONDS, self._max_store_wait)
         return ReadTimes(wait, min(remaining, wait + OVERDUE_TIMEOUT_SECONDS))
 
+    def compute_spread(self, page_bytes, nodes):
+        """Return the seconds over which reads of whole tables are spread.
+
+        Args:
+            page_bytes: Size of the table in bytes.
+            nodes: Number of nodes that may read it at the same time.
+        """
+        seconds = nodes * page_bytes / NARROW_LINK_BYTES_PER_SECOND
+        return min(seconds, MAX_SPREAD_SECONDS)
+
     def is_fresh(self, age):
         """Return whether content of an age in seconds leaves time for another poll."""
         return age <= self.max_age - PEER_MARGIN_SECONDS - MIN_PEER_WAIT_SECONDS
--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -49,6 +49,12 @@
         age = self.age
         return -1 if age is None else int(age * 1000)
 
+    @property
+    def size(self):
+        """Sum of the sizes of all values in bytes."""
+        with self._changed:
+            return sum(len(row.value) for row in self._rows.values())
+
     def find(self, key):
         """Return the FeedRow with a key, or None if the store has none."""
         return self._rows.get(key)
@@ -80,18 +86,25 @@
             self._changed.notify_all()
         return has_changed
 
-    def read(self, after, wait):
+    def wake_readers(self):
+        """Let those that wait for a change look whether they may stop."""
+        with self._changed:
+            self._changed.notify_all()
+
+    def read(self, after, wait, may_stop=None):
         """Return a FeedPage of the changes after a version.
 
         Args:
             after: Version up to which the reader has all changes, or -1 for none.
             wait: Seconds to wait for the first change.
+            may_stop: Function that returns whether to stop the wait, or None.
 
         Returns:
             The FeedPage, or None if the replica is empty or older than that version.
         """
+        may_stop = may_stop or _never
         with self._changed:
-            self._changed.wait_for(lambda: self._version > after, wait)
+            self._changed.wait_for(lambda: self._version > after or may_stop(), wait)
             age = self.age
             if age is None or self._version < 0 or self._version < after:
                 return None
@@ -157,3 +170,7 @@
         oldest = min(self._removed.values(), key=lambda row: row.version)
         del self._removed[oldest.key]
         self._complete_since = max(self._complete_since, oldest.version)
+
+
+def _never():
+    return False
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -3,7 +3,7 @@
 import random
 import threading
 
-from godwitrack.controlmessages import FeedRequest
+from godwitrack.controlmessages import FeedPending, FeedRequest
 from godwitrack.exceptions import MessageError, StoreError
 from godwitrack.feed import FeedPage, FeedTable, HistoryLost, format_version
 from godwitrack.kernel import Service
@@ -17,6 +17,7 @@
 from godwitrack_node.feedreplica import FeedReplica
 from godwitrack_node.feedsources import (
     FeedAnswerBuilder,
+    PagePending,
     PeerSource,
     SourceSelector,
     StoreSource,
@@ -27,6 +28,21 @@
 # the fleet's table at the same time when a data centre starts.
 COALESCE_SECONDS = {FeedTable.OPERATORS: 0.0, FeedTable.FLEET: 0.15}
 MAX_LONG_POLL_MS = 5000
+# Wait of a poll to a node that is receiving changes.
+PENDING_WAIT_SECONDS = 0.5
+# A node that is receiving changes is waited for at most this long. Each node draws its
+# own time, so that they do not all begin to read the store at once.
+MIN_PENDING_SECONDS = 1.5
+MAX_PENDING_SECONDS = 5.0
+# Reads of the store that would be spread over less than this are not.
+MIN_SPREAD_SECONDS = 0.1
+# Pause after a failed fetch that followed a hint.
+PULL_PAUSE_SECONDS = 1.0
+# Decoding a large page may keep that node from answering for this long.
+PENDING_MARGIN_SECONDS = 1.5
+PENDING_TIMES = ReadTimes(
+    PENDING_WAIT_SECONDS, PENDING_WAIT_SECONDS + PENDING_MARGIN_SECONDS
+)
 # Times of a read that only fetches what another node has.
 NO_WAIT = ReadTimes(0.0, PEER_MARGIN_SECONDS)
 
@@ -50,7 +66,7 @@
         """
         self._clock = clock
         self._executor = executor
-        self._store_source = StoreSource(clock, store)
+        self._store_source = StoreSource(clock, store, self._wake_readers)
         self._freshness_rules = make_freshness_rules(apply_seconds)
         self._own_address = own_address
         self._selectors = {
@@ -63,11 +79,14 @@
         self._listeners = {table: [] for table in FeedTable}
         # Tables whose last read of the store failed.
         self._failed_reads = set()
+        # Monotonic time until which a source that is receiving a table is waited for.
+        self._pending_until = {}
         self._requesters = set()
         self._wake_events = {table: threading.Event() for table in FeedTable}
         self._answer_builder = FeedAnswerBuilder()
         self._merge_locks = {table: threading.Lock() for table in FeedTable}
         self._pull_lock = threading.Lock()
+        self._pull_after = 0.0
         self._stopped = threading.Event()
         self._pool = None
         self._member_table = None
@@ -109,6 +128,8 @@
         """
         if revision <= self._replicas[FeedTable.OPERATORS].version:
             return
+        if not self._may_pull(address):
+            return
         if self._pull_lock.acquire(blocking=False):
             try:
                 self._executor.submit(self._pull, address)
@@ -116,6 +137,24 @@
                 # No thread can be started now; the next hint asks again.
                 self._pull_lock.release()
 
+    def _may_pull(self, address):
+        """Return whether to fetch the operators' table from a node that has hinted.
+
+        The link between regions is narrow. A node that follows another one gets the
+        table from there; only a leader that has lost the store needs another region.
+        """
+        table = FeedTable.OPERATORS
+        if self._clock.read_monotonic() < self._pull_after:
+            return False
+        if self._store_source.is_receiving(table):
+            return False
+        selector, view = self._selectors[table], self._member_table.get_view(address)
+        if view is None or selector.is_near(view.member):
+            return True
+        age = self._replicas[table].age
+        is_fresh = age is not None and self._freshness_rules[table].is_fresh(age)
+        return not is_fresh and selector.is_leader(self._list_reachable_members())
+
     def can_reach(self, address):
         """Return whether another node answers.
 
@@ -124,6 +163,8 @@
         replica = self._replicas[FeedTable.OPERATORS]
         try:
             self._read_peer(FeedTable.OPERATORS, address, replica.version, NO_WAIT)
+        except PagePending:
+            return True
         except StoreError as error:
             self._log.debug("peer not reached", peer=address, error=str(error))
             return False
@@ -132,6 +173,9 @@
     def answer(self, message, session):
         """Return the answer to a FeedRequest of another node.
 
+        While changes are arriving from the store, a node that waits for them is told
+        so: reading the store itself would take longer, and slow down this read.
+
         Raises:
             MessageError: The message is not a FeedRequest for a known table.
         """
@@ -142,11 +186,38 @@
             # A node that just started can read from the nodes that send it requests.
             self._add_requester(message.sender)
         wait = min(max(message.wait_ms, 0), MAX_LONG_POLL_MS) / 1000
-        page = self._replicas[table].read(message.after, wait)
+        page = self._read_replica(table, message.after, wait)
         if page is None:
-            page = FeedPage([], -1, False)
+            return FeedPending(int(table))
         return self._answer_builder.build(table, page)
 
+    def _read_replica(self, table, after, wait):
+        """Return the FeedPage for another node, or None if changes are arriving.
+
+        Args:
+            table: FeedTable.
+            after: Version up to which that node has all changes.
+            wait: Seconds to wait for a first change.
+        """
+        replica = self._replicas[table]
+
+        def is_receiving():
+            return self._store_source.is_receiving(table)
+
+        # Those that ask while changes are arriving wait for them, others are told at
+        # once that they have to.
+        was_receiving = is_receiving()
+        page = replica.read(after, 0.0 if was_receiving else wait, is_receiving)
+        page = page or FeedPage([], -1, False)
+        is_behind = not 0 <= after <= page.version
+        if is_behind or page.rows or not is_receiving():
+            return page
+        if was_receiving:
+            # The version may be later although no row has changed yet.
+            replica.read(page.version, wait)
+            page = replica.read(after, 0.0)
+        return page if page is not None and page.rows else None
+
     def _follow(self, table):
         backoff = Backoff(self._rng)
         while not self._stopped.is_set():
@@ -167,29 +238,58 @@
             backoff: Backoff that draws the pauses after failures.
         """
         address = self._choose_source(table)
+        if not address and self._changes_in_turn(table):
+            return
         try:
             has_changed = self._read(table, address)
         except StoreError as error:
+            if isinstance(error, PagePending) and self._may_wait_for_page(table):
+                return
+            self._pending_until.pop(table, None)
             self._record_failure(table, address, error)
             if not address or self._replicas[table].version < 0:
                 self._wake_events[table].wait(backoff.draw())
                 self._wake_events[table].clear()
             return
+        self._pending_until.pop(table, None)
         backoff.reset()
         if has_changed:
             self._stopped.wait(COALESCE_SECONDS[table])
 
+    def _changes_in_turn(self, table):
+        """Wait for this node's turn to read the store in place of its leader.
+
+        Returns:
+            Whether a change came meanwhile, after a hint of another node.
+        """
+        replica, members = self._replicas[table], self._list_reachable_members()
+        selector = self._selectors[table]
+        if replica.version < 0 or selector.is_leader(members):
+            return False
+        nodes = selector.count_local(members)
+        seconds = self._freshness_rules[table].compute_spread(replica.size, nodes)
+        if seconds < MIN_SPREAD_SECONDS:
+            return False
+        version = replica.version
+        replica.read(version, self._rng.uniform(0.0, seconds))
+        return replica.version > version
+
+    def _wake_readers(self, table):
+        self._replicas[table].wake_readers()
+
+    def _may_wait_for_page(self, table):
+        """Return whether to wait on for a source that is receiving a FeedTable."""
+        now = self._clock.read_monotonic()
+        patience = self._rng.uniform(MIN_PENDING_SECONDS, MAX_PENDING_SECONDS)
+        return now < self._pending_until.setdefault(table, now + patience)
+
     def _choose_source(self, table):
         """Return the address of the node to read from, or "" for the store.
 
         A node that has no content and knows no member in reach chooses at random among
         the nodes that sent it requests and the store, unless that is skipped.
         """
-        members = [
-            view.member
-            for view in map(self._member_table.get_view, self._list_addresses())
-            if view is not None and not view.is_down
-        ]
+        members = self._list_reachable_members()
         selector = self._selectors[table]
         if not members and self._replicas[table].version < 0 and self._requesters:
             store = [] if selector.is_skipped("") else [""]
@@ -206,8 +306,13 @@
         for event in self._wake_events.values():
             event.set()
 
-    def _list_addresses(self):
-        return [member.address for member in self._member_table.list_members()]
+    def _list_reachable_members(self):
+        addresses = [member.address for member in self._member_table.list_members()]
+        return [
+            view.member
+            for view in map(self._member_table.get_view, addresses)
+            if view is not None and not view.is_down
+        ]
 
     def _read(self, table, address):
         """Read a table from one source and merge it; return whether any row changed."""
@@ -215,8 +320,13 @@
         rule = self._freshness_rules[table]
         after, age = replica.version, replica.age
         if not address:
-            return self._merge(table, self._read_store(table, after, age))
+            try:
+                return self._merge(table, self._read_store(table, after, age))
+            finally:
+                self._store_source.end_read(table)
         times = rule.compute_peer_times(age)
+        if table in self._pending_until:
+            times = PENDING_TIMES
         page = self._read_peer(table, address, after, times)
         if page.version < max(after, 0):
             raise StoreError(f"{address} is behind")
@@ -294,6 +404,7 @@
         try:
             page = self._read_peer(table, address, after, NO_WAIT)
         except StoreError as error:
+            self._pull_after = self._clock.read_monotonic() + PULL_PAUSE_SECONDS
             self._log.info("pull failed", peer=address, error=str(error))
             return
         if page.version >= 0:
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -136,7 +136,7 @@
         entry_request.revision = table.revision
         route = table.find_route(request.get("host"), entry_request.path)
         if route is None:
-            raise RequestError(ErrorKind.UNKNOWN_ROUTE)
+            raise self._routes.make_missing_route_error()
         entry_request.route = route
         timeout = self._protocol.read_timeout(request)
         if timeout is None:
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -334,7 +334,7 @@
                 location,
                 settings.apply_seconds,
             ),
-            Routes(adapter.operators_rows),
+            Routes(adapter.operators_rows, settings.apply_seconds),
             RegionalPacer(clock),
             HostedGuard(
                 clock,
--- a/packages/godwitrack_node/src/godwitrack_node/routes.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routes.py
@@ -30,13 +30,15 @@
 
     name = "configurations"
 
-    def __init__(self, reader):
+    def __init__(self, reader, apply_seconds):
         """Create a service without routes; `connect` subscribes it to changes.
 
         Args:
             reader: OperatorsRowReader.
+            apply_seconds: Seconds within which operators' changes must be in force.
         """
         self._reader = reader
+        self._apply_seconds = apply_seconds
         self._replica = None
         self._listeners = []
         self._table = None
@@ -89,6 +91,19 @@
             raise RequestError(ErrorKind.NOT_READY)
         return self._table
 
+    def make_missing_route_error(self):
+        """Return the RequestError for a request that matches no route in force.
+
+        Routes that the store has not confirmed for so long that later ones must be in
+        force by now do not tell whether there is a route.
+        """
+        table, age = self._table, self._replica.age
+        detail = f"none of the {table.route_count} routes of revision {table.revision}"
+        if age is None or age > self._apply_seconds:
+            detail = f"{detail}, confirmed {self._replica.age_ms} ms ago"
+            return RequestError(ErrorKind.NOT_READY, detail)
+        return RequestError(ErrorKind.UNKNOWN_ROUTE, detail)
+
     def get_limits(self, service):
         """Return the ServiceLimits of a service, or None."""
         return self._table.services.get(service) if self._table is not None else None
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -3,10 +3,13 @@
 import base64
 import json
 import threading
+import time
 from urllib.parse import parse_qs, urlsplit
 
 from fakehttp import FakeHttpServer
 
+PIECE_BYTES = 4096
+
 
 class StoreCopy:
     """The content of a FakeStore at one moment, from which it can be restored.
@@ -32,6 +35,9 @@
         is_away: Whether it answers every request with status 503.
         loses_answers: Whether it applies transactions but closes the connection
             instead of answering.
+        bytes_per_second: Bytes that all its answers together may have in a second, or
+            None for no limit.
+        sent_bytes: Bytes of the bodies that it began to send.
     """
 
     def __init__(self, executor):
@@ -44,6 +50,10 @@
         self.era = 1
         self.is_away = False
         self.loses_answers = False
+        self.bytes_per_second = None
+        self.sent_bytes = 0
+        self._send_lock = threading.Lock()
+        self._next_send_at = 0.0
         super().__init__(executor)
 
     def put(self, table, key, value):
@@ -111,9 +121,25 @@
         if self.loses_answers and operation == "tx":
             return False
         answer = json.dumps({"nowS": 1.0, **data}).encode()
-        connection.start_answer(status, self._make_headers(), len(answer), answer)
+        self.sent_bytes += len(answer)
+        if self.bytes_per_second is None:
+            connection.start_answer(status, self._make_headers(), len(answer), answer)
+            return True
+        connection.start_answer(status, self._make_headers(), len(answer), b"")
+        for start in range(0, len(answer), PIECE_BYTES):
+            piece = answer[start : start + PIECE_BYTES]
+            self._wait_for_turn(len(piece))
+            connection.write_answer(piece)
         return True
 
+    def _wait_for_turn(self, count):
+        """Wait until a piece may be sent over the link that all answers share."""
+        with self._send_lock:
+            now = time.monotonic()
+            turn = max(self._next_send_at, now)
+            self._next_send_at = turn + count / self.bytes_per_second
+        time.sleep(turn - now)
+
     def _make_headers(self):
         return [["Store-Era", str(self.era)]]
 
