Give hinted fetches and reads for followers places of their own

No behaviour changes. test_threadlack gives its FeedSync a member table, which a hint asks for since.

--- a/packages/godwitrack_node/src/godwitrack_node/feedfreshness.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedfreshness.py
@@ -2,8 +2,8 @@
 
 Load pattern: operators' changes that must be in force everywhere within a bound, while
 the node that others follow is cut off from the store, frozen or slow. Each node keeps
-the bound by itself: whatever source it reads, the read ends while there is still time
-to read the store.
+the bound by itself: it leaves a source that sends nothing while there is still time to
+read the store.
 """
 
 from godwitrack.feed import FeedTable
@@ -34,7 +34,7 @@
 
     Attributes:
         wait: Seconds for which the source may wait for a first change.
-        timeout: Seconds after which the read has failed.
+        timeout: Seconds after which the read has failed if no answer began to arrive.
     """
 
     __slots__ = ("timeout", "wait")
--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -118,6 +118,32 @@
             rows.sort(key=lambda row: row.version)
             return FeedPage(rows, self._version, False, age)
 
+    def read_for_follower(self, after, wait, is_receiving):
+        """Return the FeedPage for a node that follows this one.
+
+        Those that ask while changes are arriving wait for them; others are told at once
+        that they have to.
+
+        Args:
+            after: Version up to which that node has all changes.
+            wait: Seconds to wait for a first change.
+            is_receiving: Function that returns whether changes are arriving.
+
+        Returns:
+            The FeedPage, or None if changes are arriving that it lacks.
+        """
+        was_receiving = is_receiving()
+        page = self.read(after, 0.0 if was_receiving else wait, is_receiving)
+        page = page or FeedPage([], -1, False)
+        is_behind = not 0 <= after <= page.version
+        if is_behind or page.rows or not is_receiving():
+            return page
+        if was_receiving:
+            # The version may be later although no row has changed yet.
+            self.read(page.version, wait)
+            page = self.read(after, 0.0)
+        return page if page is not None and page.rows else None
+
     def _update_confirmed_at(self, page):
         confirmed_at = self._clock.read_monotonic() - page.age
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -5,7 +5,7 @@
 
 from godwitrack.controlmessages import FeedPending, FeedRequest
 from godwitrack.exceptions import MessageError, StoreError
-from godwitrack.feed import FeedPage, FeedTable, HistoryLost, format_version
+from godwitrack.feed import FeedTable, HistoryLost, format_version
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
 from godwitrack_node.backoff import MAX_PAUSE_SECONDS, Backoff
@@ -22,6 +22,7 @@
     SourceSelector,
     StoreSource,
 )
+from godwitrack_node.hintedfetches import HintedFetches
 from godwitrack_node.threadpool import run_lasting
 
 # Pause after each change, so that one read returns several changes: many nodes change
@@ -36,8 +37,6 @@
 MAX_PENDING_SECONDS = 5.0
 # Reads of the store that would be spread over less than this are not.
 MIN_SPREAD_SECONDS = 0.1
-# Pause after a failed fetch that followed a hint.
-PULL_PAUSE_SECONDS = 1.0
 # Decoding a large page may keep that node from answering for this long.
 PENDING_MARGIN_SECONDS = 1.5
 PENDING_TIMES = ReadTimes(
@@ -85,8 +84,7 @@
         self._wake_events = {table: threading.Event() for table in FeedTable}
         self._answer_builder = FeedAnswerBuilder()
         self._merge_locks = {table: threading.Lock() for table in FeedTable}
-        self._pull_lock = threading.Lock()
-        self._pull_after = 0.0
+        self._fetches = HintedFetches(clock, executor, self._fetch_operators)
         self._stopped = threading.Event()
         self._pool = None
         self._member_table = None
@@ -123,29 +121,20 @@
     def hint(self, address, revision):
         """Fetch the operators' table from a node that may know a later revision.
 
-        Every answer of that node may carry this hint. One fetch at a time is enough;
-        more would fill a slow link.
+        Every answer of that node may carry this hint.
         """
         if revision <= self._replicas[FeedTable.OPERATORS].version:
             return
-        if not self._may_pull(address):
-            return
-        if self._pull_lock.acquire(blocking=False):
-            try:
-                self._executor.submit(self._pull, address)
-            except RuntimeError:
-                # No thread can be started now; the next hint asks again.
-                self._pull_lock.release()
+        if self._may_fetch_from(address):
+            self._fetches.start(address)
 
-    def _may_pull(self, address):
+    def _may_fetch_from(self, address):
         """Return whether to fetch the operators' table from a node that has hinted.
 
         The link between regions is narrow. A node that follows another one gets the
         table from there; only a leader that has lost the store needs another region.
         """
         table = FeedTable.OPERATORS
-        if self._clock.read_monotonic() < self._pull_after:
-            return False
         if self._store_source.is_receiving(table):
             return False
         selector, view = self._selectors[table], self._member_table.get_view(address)
@@ -186,38 +175,13 @@
             # A node that just started can read from the nodes that send it requests.
             self._add_requester(message.sender)
         wait = min(max(message.wait_ms, 0), MAX_LONG_POLL_MS) / 1000
-        page = self._read_replica(table, message.after, wait)
+        page = self._replicas[table].read_for_follower(
+            message.after, wait, lambda: self._store_source.is_receiving(table)
+        )
         if page is None:
             return FeedPending(int(table))
         return self._answer_builder.build(table, page)
 
-    def _read_replica(self, table, after, wait):
-        """Return the FeedPage for another node, or None if changes are arriving.
-
-        Args:
-            table: FeedTable.
-            after: Version up to which that node has all changes.
-            wait: Seconds to wait for a first change.
-        """
-        replica = self._replicas[table]
-
-        def is_receiving():
-            return self._store_source.is_receiving(table)
-
-        # Those that ask while changes are arriving wait for them, others are told at
-        # once that they have to.
-        was_receiving = is_receiving()
-        page = replica.read(after, 0.0 if was_receiving else wait, is_receiving)
-        page = page or FeedPage([], -1, False)
-        is_behind = not 0 <= after <= page.version
-        if is_behind or page.rows or not is_receiving():
-            return page
-        if was_receiving:
-            # The version may be later although no row has changed yet.
-            replica.read(page.version, wait)
-            page = replica.read(after, 0.0)
-        return page if page is not None and page.rows else None
-
     def _follow(self, table):
         backoff = Backoff(self._rng)
         while not self._stopped.is_set():
@@ -392,21 +356,15 @@
                 listener()
         return True
 
-    def _pull(self, address):
-        try:
-            self._pull_once(address)
-        finally:
-            self._pull_lock.release()
+    def _fetch_operators(self, address):
+        """Read the operators' table from a node and merge it.
 
-    def _pull_once(self, address):
+        Raises:
+            StoreError: The node gave no usable answer.
+        """
         table = FeedTable.OPERATORS
         after = self._replicas[table].version
-        try:
-            page = self._read_peer(table, address, after, NO_WAIT)
-        except StoreError as error:
-            self._pull_after = self._clock.read_monotonic() + PULL_PAUSE_SECONDS
-            self._log.info("pull failed", peer=address, error=str(error))
-            return
+        page = self._read_peer(table, address, after, NO_WAIT)
         if page.version >= 0:
             self._merge(table, page)
 
--- /dev/null
+++ b/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
@@ -0,0 +1,54 @@
+"""Fetches of the operators' table from nodes that hinted that they have a later one.
+
+Load pattern: every answer of a node may carry the hint, and a long list of routes fills
+a slow link for a second. There is one fetch at a time, and a pause after a failed one.
+"""
+
+import threading
+
+from godwitrack.exceptions import StoreError
+from godwitrack.logs import get_logger
+
+# Pause after a failed fetch.
+PAUSE_SECONDS = 1.0
+
+
+class HintedFetches:
+    """Runs one fetch at a time."""
+
+    def __init__(self, clock, executor, fetch):
+        """Create without a fetch.
+
+        Args:
+            clock: Clock.
+            executor: concurrent.futures.Executor.
+            fetch: Function that fetches the table from the node at an address, and
+                raises StoreError if it fails.
+        """
+        self._clock = clock
+        self._executor = executor
+        self._fetch = fetch
+        self._running = threading.Lock()
+        self._paused_until = 0.0
+        self._log = get_logger("news")
+
+    def start(self, address):
+        """Start a fetch from a node, unless one runs or has just failed."""
+        if self._clock.read_monotonic() < self._paused_until:
+            return
+        if not self._running.acquire(blocking=False):
+            return
+        try:
+            self._executor.submit(self._run, address)
+        except RuntimeError:
+            # No thread can be started now; the next hint asks again.
+            self._running.release()
+
+    def _run(self, address):
+        try:
+            self._fetch(address)
+        except StoreError as error:
+            self._paused_until = self._clock.read_monotonic() + PAUSE_SECONDS
+            self._log.info("pull failed", peer=address, error=str(error))
+        finally:
+            self._running.release()
--- a/tests/test_feedsync.py
+++ b/tests/test_feedsync.py
@@ -7,7 +7,8 @@
 from godwitrack.exceptions import LinkError
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack.hashing import hash_text
-from godwitrack_node.feedsync import PULL_PAUSE_SECONDS, FeedSync
+from godwitrack_node.feedsync import FeedSync
+from godwitrack_node.hintedfetches import PAUSE_SECONDS
 from godwitrack_node.hostedrouting import Member, MemberView
 from godwitrack_node.routes import OperatorsRowReader, Routes
 from godwitrack_node.routing import Location
@@ -96,7 +97,7 @@
     executor.run()
     feed_sync.hint(NEAR, REVISION)
     assert len(executor.jobs) == 0
-    clock.advance(PULL_PAUSE_SECONDS)
+    clock.advance(PAUSE_SECONDS)
     feed_sync.hint(NEAR, REVISION)
     assert len(executor.jobs) == 1
 
--- a/tests/test_threadlack.py
+++ b/tests/test_threadlack.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from feedparts import FakeKernel, FakeMembers
 from godwitrack.address import Address
 from godwitrack.clock import SystemClock
 from godwitrack_node import connectionserver, healthwatch, memberrow, scheduler
@@ -44,6 +45,7 @@
 def hint(clock, executor):
     location = Location("south", "dc-a")
     feed_sync = FeedSync(clock, executor, None, "127.0.0.1:1", location, APPLY_SECONDS)
+    feed_sync.connect(FakeKernel(None, FakeMembers(["127.0.0.1:1", "127.0.0.1:2"])))
     return lambda: feed_sync.hint("127.0.0.1:2", 5)
 
 
