Let a start wait for a thread (FAULT)

Cause: a service that begins its work asked the pool for a thread once, and the log's writer asked for its own once; neither error is the node's to end by.

Why it works: the thread that starts the node asks again every 0.1 s until a stop is requested; the log's thread begins with a later line. Calls of other threads fail at once as before, so that no accept loop stands still.

No play on a machine without threads was made.

--- a/packages/godwitrack/src/godwitrack/logwriter.py
+++ b/packages/godwitrack/src/godwitrack/logwriter.py
@@ -86,12 +86,22 @@
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._idle = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
+        self._is_started = False
+        self._start_thread()
+
+    def _start_thread(self):
+        """Start the thread, or leave that to the next write if none can be started."""
+        try:
+            threading.Thread(target=self._run, daemon=True).start()
+            self._is_started = True
+        except RuntimeError:
+            return
 
     def write(self, text):
         """Enqueue a text, or drop it if the queue is full."""
         with self._lock:
+            if not self._is_started:
+                self._start_thread()
             if len(self._lines) < MAX_QUEUED_LINES:
                 self._lines.append(text)
                 self._idle.clear()
--- a/packages/godwitrack/src/godwitrack/signalflag.py
+++ b/packages/godwitrack/src/godwitrack/signalflag.py
@@ -2,6 +2,8 @@
 
 import threading
 
+from godwitrack.exceptions import StartCancelled
+
 
 class SignalFlag:
     """A flag like threading.Event that is set once, also by a handler of signals.
@@ -28,6 +30,15 @@
             self._is_set = True
             self._open()
 
+    def check_start(self):
+        """Check that a start may go on.
+
+        Raises:
+            StartCancelled: The flag, which asks for a stop, is set.
+        """
+        if self._is_set:
+            raise StartCancelled("a stop was requested during the start")
+
     def wait(self, timeout=None):
         """Wait until the flag is set; return whether it is.
 
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -195,10 +195,12 @@
 
         Raises:
             StartError: A service failed to start.
-            StartCancelled: A stop was requested while a port was not available.
+            StartCancelled: A stop was requested while a port or a thread was not
+                available.
         """
         sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
-        self.kernel.start()
+        with self._executor.wait_for_threads(self._stop_requested.check_start):
+            self.kernel.start()
         self._log.info(
             "node started",
             node=self.identity.name,
--- a/packages/godwitrack_node/src/godwitrack_node/threadpool.py
+++ b/packages/godwitrack_node/src/godwitrack_node/threadpool.py
@@ -1,6 +1,7 @@
 """The threads of a node."""
 
 import concurrent.futures
+import contextlib
 import threading
 import time
 
@@ -51,6 +52,21 @@
         """
         super().__init__(max_workers, prefix)
         self._idle_semaphore = IdleThreads()
+        self._waiting_thread = None
+
+    @contextlib.contextmanager
+    def wait_for_threads(self, check):
+        """Let the calling thread wait in `submit` until a thread can be started.
+
+        Args:
+            check: Function called before each further attempt; what it raises ends the
+                wait.
+        """
+        self._waiting_thread = (threading.get_ident(), check)
+        try:
+            yield
+        finally:
+            self._waiting_thread = None
 
     def submit(self, function, /, *arguments):
         """Call a function in a thread; return its Future.
@@ -59,13 +75,18 @@
             RuntimeError: No thread could be started, or the pool was shut down; the
                 function is not called.
         """
-        task = Task(function, arguments)
-        try:
-            return super().submit(task.run)
-        except RuntimeError:
-            # The pool queues the call before it tries to start a thread for it.
-            task.cancel()
-            raise
+        while True:
+            task = Task(function, arguments)
+            try:
+                return super().submit(task.run)
+            except RuntimeError:
+                # The pool queues the call before it tries to start a thread for it.
+                task.cancel()
+                ident, check = self._waiting_thread or (None, None)
+                if self._shutdown or ident != threading.get_ident():
+                    raise
+            check()
+            time.sleep(RESTART_PAUSE_SECONDS)
 
     def _adjust_thread_count(self):
         """Start a thread if none waits; called by `submit` under the pool's lock."""
--- a/tests/test_threadlack.py
+++ b/tests/test_threadlack.py
@@ -1,5 +1,6 @@
 """Tests of work that needs a thread at a moment when none can be started."""
 
+import io
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -9,6 +10,8 @@
 from feedparts import FakeKernel, FakeMembers
 from godwitrack.address import Address
 from godwitrack.clock import SystemClock
+from godwitrack.exceptions import StartCancelled
+from godwitrack.logwriter import LogBudget, LogWriter
 from godwitrack_node import connectionserver, healthwatch, memberrow, scheduler
 from godwitrack_node.connectionbudget import ConnectionBudget
 from godwitrack_node.connectionserver import ConnectionServer
@@ -88,6 +91,48 @@
             call.result(WAIT_SECONDS)
 
 
+def test_a_start_waits_for_a_thread(monkeypatch):
+    """Guards against a node that ends where the machine has no thread for a moment."""
+    refusals = iter(range(3))
+    start = threading.Thread.start
+
+    def refuse_first(thread):
+        if next(refusals, None) is not None:
+            refuse_start(thread)
+        start(thread)
+
+    checks = []
+    with ThreadPool(8, "test") as pool:
+        monkeypatch.setattr(threading.Thread, "start", refuse_first)
+        with pool.wait_for_threads(lambda: checks.append(1)):
+            assert pool.submit(max, 1, 2).result(WAIT_SECONDS) is None
+    assert len(checks) == 3
+
+
+def test_a_start_without_threads_ends_when_a_stop_is_requested(monkeypatch):
+    def cancel():
+        raise StartCancelled("a stop was requested")
+
+    with ThreadPool(8, "test") as pool, monkeypatch.context() as patch:
+        patch.setattr(threading.Thread, "start", refuse_start)
+        with pytest.raises(StartCancelled), pool.wait_for_threads(cancel):
+            pool.submit(print, "not called")
+        # Other threads' calls, and those after the start, do not wait.
+        with pytest.raises(RuntimeError, match="can't start"):
+            pool.submit(print, "not called")
+
+
+def test_a_log_without_a_thread_writes_once_there_is_one(monkeypatch):
+    stream = io.StringIO()
+    with monkeypatch.context() as patch:
+        patch.setattr(threading.Thread, "start", refuse_start)
+        writer = LogWriter(stream, LogBudget())
+        writer.write("first ")
+    writer.write("second")
+    assert writer.drain(WAIT_SECONDS)
+    assert stream.getvalue() == "first second"
+
+
 class FailingLogger:
     """Has no memory for a line."""
 
