Let one call end a connection after its last answer, and one note a broken one

callers and hostports closed and lingered in two steps that belong together; feed_eof repeated _fail. No behaviour changes: test_httpserver, test_lingeringclose, test_instance, test_cutheads and test_hostports pass.

--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -102,7 +102,7 @@
         self.must_close = True
         if self._has_head and not self._is_framed and not self._failure_detail:
             self._complete()
-        self._failure_detail = self._failure_detail or "the answer broke off"
+        self._fail("the answer broke off")
 
     def on_message_begin(self):
         """Start an answer; called by the parser."""
--- a/packages/godwitrack_node/src/godwitrack_node/callers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/callers.py
@@ -99,8 +99,7 @@
             while self._serve_request(connection, remote):
                 pass
         finally:
-            connection.close()
-            connection.linger()
+            connection.end()
 
     def _serve_request(self, connection, remote):
         """Serve one request; returns whether the connection can serve another."""
--- a/packages/godwitrack_node/src/godwitrack_node/hostports.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostports.py
@@ -100,8 +100,7 @@
             self._log.info("request refused", remote=remote, error=str(error))
             _send_refusal(connection, error)
         finally:
-            connection.close()
-            connection.linger()
+            connection.end()
 
     def _serve_request(self, connection, sock):
         self._waiting.add(sock)
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -233,8 +233,13 @@
         self._head_share.hold(0)
         self._reader.close()
 
-    def linger(self):
-        """End the connection after its last answer, so that the client gets that.
+    def end(self):
+        """End the connection after its last answer, so that the client gets that."""
+        self.close()
+        self._linger()
+
+    def _linger(self):
+        """Read on for a while after the last answer.
 
         Closing a socket with unread bytes resets the connection, which takes along what
         the client has not read yet. So what the client still sends is read and dropped.
