--- a/soak/soakchecks.py
+++ b/soak/soakchecks.py
@@ -29,6 +29,7 @@
         FaultKind.STORE_LOSES_ANSWERS,
         FaultKind.STORE_FORGETS,
         FaultKind.STORE_RESTORED,
+        FaultKind.STORE_NARROW,
     )
 )
 
--- a/soak/soakfaults.py
+++ b/soak/soakfaults.py
@@ -22,6 +22,8 @@
 )
 # Step of a VM's clock before a server starts again under its id.
 CLOCK_STEP_SECONDS = 2.0
+# Routes of a list whose page takes seconds over a narrow link.
+MANY_ROUTES = 1200
 # Time for which the store is away while it is restored from a copy.
 RESTORATION_SECONDS = 0.3
 CUT_DIRECTIONS = {
@@ -86,6 +88,7 @@
             FaultKind.STORE_RESTORED: self._restore_store,
             FaultKind.REPORT_LATE: self._delay_report,
             FaultKind.SERVER_REBORN: self._bear_server_again,
+            FaultKind.STORE_NARROW: self._narrow_store,
         }
         self.applied_faults = []
 
@@ -155,6 +158,14 @@
     def _compact_store_log(self, fault, machine):
         self._fleet.store.compact()
 
+    def _narrow_store(self, fault, machine):
+        """Add many routes while all answers of the store share a narrow link."""
+        store = self._fleet.store
+        store.bytes_per_second = fault.strength
+        self._fleet.publish_routes(MANY_ROUTES)
+        time.sleep(fault.seconds)
+        store.bytes_per_second = None
+
     def _restore_store(self, fault, machine):
         """Restore the store from a copy; operators' rows are written again at once."""
         with self._fleet.store_lock:
--- a/soak/soakfleet.py
+++ b/soak/soakfleet.py
@@ -57,12 +57,19 @@
             for number in range(CALLERS_PER_NODE)
         ]
 
-    def publish_routes(self):
-        """Store the routes as a new revision, with one route that only this one has."""
+    def publish_routes(self, more=0):
+        """Store the routes as a new revision, with one route that only this one has.
+
+        Args:
+            more: Number of further routes, which nobody calls.
+        """
         with self._revision_lock:
             self._revision += 1
             resources = [_make_call_route(kind) for kind in CALL_KINDS]
             extra = make_route("extra", f"/extra-{self._revision}/", "scenbok")
+            for number in range(more):
+                route = make_route(f"m-{number}", f"/more-{number}/", "scenbok")
+                resources.append(route)
             services = [
                 make_service(name, WARM_UP_REQUESTS_PER_SECOND)
                 for name in sorted({spec.service for spec in MACHINE_SPECS})
--- a/soak/soakplan.py
+++ b/soak/soakplan.py
@@ -35,6 +35,7 @@
     STORE_RESTORED = "store_restored"
     REPORT_LATE = "report_late"
     SERVER_REBORN = "server_reborn"
+    STORE_NARROW = "store_narrow"
 
 
 class PathName(enum.Enum):
@@ -76,6 +77,10 @@
     FaultKind.REPORT_LATE: (0.3, 4.0, 3),
     FaultKind.SERVER_REBORN: (0.1, 1.0, 1),
 }
+# Many routes are added once in each seed while the store has a narrow link: seconds
+# of that, and bytes a second for all nodes together.
+NARROW_SECONDS = (2.0, 6.0)
+NARROW_RATES = (100_000, 200_000, 400_000)
 # One fault of the later kinds for so many others.
 LATER_SHARE = 4
 # An overlap has two stops, this many reloads and as many changes of routes, all within
@@ -100,7 +105,8 @@
         path: PathName; used only by path faults.
         seconds: Duration in seconds.
         start_seconds: Start, in seconds after the first calls.
-        strength: Delay or clock jump in seconds; 0 for the other kinds.
+        strength: Delay or clock jump in seconds, or bytes a second of a narrow store;
+            0 for the other kinds.
     """
 
     __slots__ = ("kind", "node", "path", "seconds", "start_seconds", "strength")
@@ -141,6 +147,7 @@
         start_seconds = rng.uniform(FIRST_FAULT_SECONDS, seconds)
         plan += _draw_series(rng, start_seconds, nodes, LATER_DURATIONS_AND_WEIGHTS)
     plan += _draw_overlap(random.Random(f"overlap {seed}"), nodes, seconds)
+    plan.append(_draw_narrow_store(random.Random(f"narrow {seed}"), seconds))
     return sorted(
         (fault for fault in plan if fault.start_seconds <= seconds), key=_get_start
     )
@@ -184,6 +191,17 @@
     ]
 
 
+def _draw_narrow_store(rng, seconds):
+    return PlannedFault(
+        rng.uniform(FIRST_FAULT_SECONDS, seconds),
+        FaultKind.STORE_NARROW,
+        0,
+        PathName.STORE,
+        rng.uniform(*NARROW_SECONDS),
+        rng.choice(NARROW_RATES),
+    )
+
+
 def _draw_strength(rng, kind):
     if kind is FaultKind.PATH_DELAY:
         return rng.choice(PATH_DELAYS_SECONDS)
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -122,22 +122,23 @@
             return False
         answer = json.dumps({"nowS": 1.0, **data}).encode()
         self.sent_bytes += len(answer)
-        if self.bytes_per_second is None:
+        rate = self.bytes_per_second
+        if rate is None:
             connection.start_answer(status, self._make_headers(), len(answer), answer)
             return True
         connection.start_answer(status, self._make_headers(), len(answer), b"")
         for start in range(0, len(answer), PIECE_BYTES):
             piece = answer[start : start + PIECE_BYTES]
-            self._wait_for_turn(len(piece))
+            self._wait_for_turn(len(piece) / rate)
             connection.write_answer(piece)
         return True
 
-    def _wait_for_turn(self, count):
-        """Wait until a piece may be sent over the link that all answers share."""
+    def _wait_for_turn(self, seconds):
+        """Wait to send a piece, which takes some seconds, on a link of all answers."""
         with self._send_lock:
             now = time.monotonic()
             turn = max(self._next_send_at, now)
-            self._next_send_at = turn + count / self.bytes_per_second
+            self._next_send_at = turn + seconds
         time.sleep(turn - now)
 
     def _make_headers(self):
