--- a/packages/godwitrack/src/godwitrack/transfer.py
+++ b/packages/godwitrack/src/godwitrack/transfer.py
@@ -75,8 +75,8 @@
         end_at = started_at + limits.total_seconds
         due_at = started_at + limits.begin_seconds
         count = 0
-        _, active = self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        while active:
+        is_active = self._act(pycurl.SOCKET_TIMEOUT, 0)
+        while is_active:
             now = time.monotonic()
             if read_count() > count:
                 count = read_count()
@@ -86,25 +86,33 @@
                     f"gave up after {round((now - started_at) * 1000)} ms "
                     f"with {count} bytes received"
                 )
-            active = self._step(min(due_at, end_at) - now)
+            is_active = self._wait_and_act(min(due_at, end_at) - now)
 
-    def _step(self, seconds):
-        """Let libcurl act on the next event; return the number of open transfers."""
-        now = time.monotonic()
+    def _wait_and_act(self, seconds):
+        """Let libcurl act on the next events; return whether the transfer goes on.
+
+        Args:
+            seconds: Longest time to wait for an event.
+        """
         timer_at = self._timer_at
         if timer_at is not None:
-            seconds = min(seconds, max(timer_at - now, 0.0))
+            seconds = min(seconds, max(timer_at - time.monotonic(), 0.0))
         poller = select.poll()
         for fd, events in self._events.items():
             poller.register(fd, events)
         ready = poller.poll(seconds * 1000)
-        active = 1
+        is_active = True
         for fd, events in ready:
-            _, active = self._multi.socket_action(fd, _translate_events(events))
+            is_active = self._act(fd, _translate_events(events))
         if not ready and timer_at is not None and time.monotonic() >= timer_at:
             self._timer_at = None
-            _, active = self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        return active
+            is_active = self._act(pycurl.SOCKET_TIMEOUT, 0)
+        return is_active
+
+    def _act(self, fd, mask):
+        """Tell libcurl of events of a socket, or that its time has come."""
+        _, open_transfers = self._multi.socket_action(fd, mask)
+        return open_transfers > 0
 
     def _set_events(self, what, fd, multi, data):
         """Remember what libcurl waits for on a socket; called by libcurl."""
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -202,7 +202,7 @@
             backoff: Backoff that draws the pauses after failures.
         """
         address = self._choose_source(table)
-        if not address and self._changes_in_turn(table):
+        if not address and self._has_changed_before_turn(table):
             return
         try:
             has_changed = self._read(table, address)
@@ -220,7 +220,7 @@
         if has_changed:
             self._stopped.wait(COALESCE_SECONDS[table])
 
-    def _changes_in_turn(self, table):
+    def _has_changed_before_turn(self, table):
         """Wait for this node's turn to read the store in place of its leader.
 
         Returns:
