--- a/packages/godwitrack/src/godwitrack/controlmessages.py
+++ b/packages/godwitrack/src/godwitrack/controlmessages.py
@@ -113,6 +113,18 @@
     __slots__ = tuple(name for name, _ in FIELDS)
 
 
+class FeedContentRequest(FeedRequest):
+    """Asks for the changes to a table, and says which content the reader has.
+
+    The field `content` is the version of the latest change that the reader has, which
+    is no later than `after`.
+    """
+
+    TAG = 20
+    FIELDS = (*FeedRequest.FIELDS, ("content", int))
+    __slots__ = ("content",)
+
+
 class FeedPending(Message):
     """Says that a page is arriving from the store, but is not whole yet."""
 
--- a/packages/godwitrack/src/godwitrack/feed.py
+++ b/packages/godwitrack/src/godwitrack/feed.py
@@ -74,15 +74,33 @@
         is_whole: Whether the page holds the whole table, so that rows not listed do
             not exist.
         age: Seconds since the store confirmed the content.
+        received_bytes: Bytes that it took on the way, as far as they were counted.
     """
 
-    __slots__ = ("age", "is_whole", "rows", "version")
+    __slots__ = ("age", "is_whole", "received_bytes", "rows", "version")
 
     def __init__(self, rows, version, is_whole, age=0.0):
         self.rows = rows
         self.version = version
         self.is_whole = is_whole
         self.age = age
+        self.received_bytes = 0
+
+
+class ReaderState:
+    """What the reader of a table has, by which a source knows what it lacks.
+
+    Attributes:
+        after: Version up to which it has all changes, or -1 for none.
+        content: Version of the latest change that it has; no later than `after`, which
+            moves with the changes of all tables.
+    """
+
+    __slots__ = ("after", "content")
+
+    def __init__(self, after, content):
+        self.after = after
+        self.content = content
 
 
 class HistoryLost(StoreError):
--- a/packages/godwitrack/src/godwitrack/load.py
+++ b/packages/godwitrack/src/godwitrack/load.py
@@ -11,7 +11,8 @@
             of the request rate allowed during warm-up, times `limit`.
         queued: Requests waiting in the admission queue.
         limit: Most requests that may run at once now.
-        revision: Revision of the configuration in force at the node.
+        revision: Revision of the configuration in force at the node; at a hosted node
+            the version of the latest change of the operators' table.
         slowness: Current service time in percent of the usual service time.
         home_demand: Requests that may run in no other region and are waiting or were
             recently rejected.
--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -17,6 +17,7 @@
     ChangesRequest,
     DigestRequest,
     FeedAnswer,
+    FeedContentRequest,
     FeedPending,
     FeedRequest,
     Ping,
@@ -49,6 +50,7 @@
         FeedRequest,
         FeedAnswer,
         FeedPending,
+        FeedContentRequest,
     )
 }
 
--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from godwitrack.feed import FeedPage, get_era
+from godwitrack.feed import FeedPage, ReaderState, get_era
 
 MAX_REMOVED_ROWS = 1000
 # Time for the writers of lost rows to notice the restoration and write them again.
@@ -17,6 +17,9 @@
 
     Rows that a restored store lacks stay listed for a while, unless they are removed
     in the new era: a take-out or a node does not end because the store lost its row.
+
+    Its position in the store's sequence moves with every change of any table. Which
+    content it has is told by the latest change of this table alone.
     """
 
     def __init__(self, clock):
@@ -27,6 +30,7 @@
         self._lost = {}
         self._lost_until = 0.0
         self._version = -1
+        self._content_version = -1
         # All removals after this version are kept.
         self._complete_since = 0
         self._confirmed_at = None
@@ -36,6 +40,14 @@
         """Version up to which no change is missing, or -1 before the first page."""
         return self._version
 
+    @property
+    def content_version(self):
+        """Version of the latest change of any row, or -1 before the first page.
+
+        A node that is complete up to here lacks nothing that this one has.
+        """
+        return self._content_version
+
     @property
     def age(self):
         """Seconds since the store confirmed the content, or None if it never did."""
@@ -64,6 +76,11 @@
         with self._changed:
             return [*self._rows.values(), *self._lost.values()]
 
+    def describe(self):
+        """Return the ReaderState of this replica, for a read from another node."""
+        with self._changed:
+            return ReaderState(self._version, self._content_version)
+
     def merge(self, page):
         """Merge a FeedPage.
 
@@ -77,12 +94,15 @@
             has_changed = self._version < 0
             if page.is_whole:
                 self._keep_lost(page)
-                has_changed |= self._drop_unlisted(page)
+                if self._drop_unlisted(page):
+                    has_changed = True
+                    self._content_version = page.version
                 self._complete_since = page.version
             for row in page.rows:
                 has_changed |= self._merge_row(row)
             has_changed |= self._expire_lost()
             self._version = page.version
+            self._content_version = max(self._content_version, 0)
             self._changed.notify_all()
         return has_changed
 
@@ -91,22 +111,26 @@
         with self._changed:
             self._changed.notify_all()
 
-    def read(self, after, wait, may_stop=None):
+    def read(self, after, wait, may_stop=None, content=None):
         """Return a FeedPage of the changes after a version.
 
         Args:
             after: Version up to which the reader has all changes, or -1 for none.
             wait: Seconds to wait for the first change.
             may_stop: Function that returns whether to stop the wait, or None.
+            content: Version of the latest change that the reader has; by default
+                `after`.
 
         Returns:
-            The FeedPage, or None if the replica is empty or older than that version.
+            The FeedPage, or None if the replica is empty or lacks the content that the
+            reader has. Its version is below `after` where both have the same content.
         """
         may_stop = may_stop or _never
+        content = after if content is None else content
         with self._changed:
             self._changed.wait_for(lambda: self._version > after or may_stop(), wait)
             age = self.age
-            if age is None or self._version < 0 or self._version < after:
+            if age is None or self._version < 0 or self._version < content:
                 return None
             if after < self._complete_since:
                 return FeedPage(list(self._rows.values()), self._version, True, age)
@@ -118,30 +142,30 @@
             rows.sort(key=lambda row: row.version)
             return FeedPage(rows, self._version, False, age)
 
-    def read_for_follower(self, after, wait, is_receiving):
+    def read_for_follower(self, after, wait, is_receiving, content=None):
         """Return the FeedPage for a node that follows this one.
 
         Those that ask while changes are arriving wait for them; others are told at once
-        that they have to.
+        that they have to. What this node lacks of theirs may be arriving, too.
 
         Args:
             after: Version up to which that node has all changes.
             wait: Seconds to wait for a first change.
             is_receiving: Function that returns whether changes are arriving.
+            content: Version of the latest change that it has; by default `after`.
 
         Returns:
-            The FeedPage, or None if changes are arriving that it lacks.
+            The FeedPage, or None if changes are arriving that it lacks. The version of
+            the page is -1 if this node has no content, or lacks what that node has.
         """
         was_receiving = is_receiving()
-        page = self.read(after, 0.0 if was_receiving else wait, is_receiving)
-        page = page or FeedPage([], -1, False)
-        is_behind = not 0 <= after <= page.version
-        if is_behind or page.rows or not is_receiving():
-            return page
+        page = self.read(after, 0.0 if was_receiving else wait, is_receiving, content)
+        if after < 0 or (page is not None and page.rows) or not is_receiving():
+            return page or FeedPage([], -1, False)
         if was_receiving:
             # The version may be later although no row has changed yet.
-            self.read(page.version, wait)
-            page = self.read(after, 0.0)
+            self.read(max(self._version, after), wait)
+            page = self.read(after, 0.0, content=content)
         return page if page is not None and page.rows else None
 
     def _update_confirmed_at(self, page):
@@ -153,6 +177,7 @@
         known = self._rows.get(row.key) or self._removed.get(row.key)
         if known is not None and known.version >= row.version:
             return False
+        self._content_version = max(self._content_version, row.version)
         self._lost.pop(row.key, None)
         if row.value is None:
             self._rows.pop(row.key, None)
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -1,21 +1,17 @@
-"""The sources from which a node reads the changes of the store's tables.
-
-Load pattern: a fleet in which each call to the store is billed and each change
-would wake every node. One node in each data centre follows the store. The others
-follow that node, and read from the store themselves when it is silent or behind.
-"""
+"""The sources from which a node reads the changes of the store's tables."""
 
 import abc
-import threading
 
-from godwitrack.controlmessages import FeedAnswer, FeedPending, FeedRequest
+from godwitrack.controlmessages import (
+    FeedAnswer,
+    FeedContentRequest,
+    FeedPending,
+    FeedRequest,
+)
 from godwitrack.exceptions import LinkError, LinkTimeout, MessageError, StoreError
-from godwitrack.feed import FeedPage, FeedRow, HistoryLost, format_version, get_era
-from godwitrack.hashing import hash_text
-from godwitrack.message import pack_list
+from godwitrack.feed import HistoryLost, format_version, get_era
+from godwitrack_node.feedanswers import decode_answer
 
-# Time for which a failed source is skipped.
-SKIP_SECONDS = 2.0
 # A link refuses a timeout of zero.
 MIN_TIMEOUT_SECONDS = 0.01
 # A page of the store counts as large from here on: it may take longer to arrive than
@@ -25,6 +21,8 @@
 MAX_PAUSE_SECONDS = 1.0
 # Time for an answer of another node that goes on arriving.
 MAX_ANSWER_SECONDS = 10.0
+# Builds from this one on say which content they have.
+CONTENT_PROTOCOL = 1
 
 
 class PagePending(StoreError):
@@ -41,12 +39,12 @@
     name = ""
 
     @abc.abstractmethod
-    def read(self, table, after, times):
-        """Wait for changes after a version and return them as a FeedPage.
+    def read(self, table, state, times):
+        """Wait for changes that a reader lacks and return them as a FeedPage.
 
         Args:
             table: FeedTable.
-            after: Version up to which the node has all changes, or -1 for none.
+            state: ReaderState of the reader.
             times: ReadTimes.
 
         Raises:
@@ -92,22 +90,30 @@
         if is_first:
             self._on_large_page(table)
 
-    def read(self, table, after, times):
-        """Return the changes, or the whole table if `after` is below 0.
+    def read(self, table, state, times):
+        """Return the changes, or the whole table if `state.after` is below 0.
 
         Raises:
-            HistoryLost: The store lacks changes since `after`.
+            HistoryLost: The store lacks changes since `state.after`.
             StoreError: The store gave no usable answer.
         """
+        received_bytes = 0
 
         def record_data(count):
+            nonlocal received_bytes
+            received_bytes = count
             self._record_data(table, count)
 
+        page = self._read(table, state.after, times, record_data)
+        page.received_bytes = received_bytes
+        return page
+
+    def _read(self, table, after, times, on_data):
         if after < 0:
-            return self._store.read_all(table, record_data)
+            return self._store.read_all(table, on_data)
         started = self._clock.read_monotonic()
         page = self._store.read_changes(
-            table, after, times.wait, times.timeout, record_data
+            table, after, times.wait, times.timeout, on_data
         )
         if get_era(page.version) != get_era(after):
             raise HistoryLost(
@@ -124,15 +130,30 @@
 class PeerSource(FeedSource):
     """Another node, over a link."""
 
-    def __init__(self, clock, pool, address, own_address):
+    def __init__(self, clock, pool, address, own_address, protocol=0):
+        """Create the source.
+
+        Args:
+            clock: Clock.
+            pool: LinkPool.
+            address: "host:port" of the other node's links.
+            own_address: "host:port" of this node's links.
+            protocol: Protocol that the other node understands.
+        """
         self.name = address
         self._clock = clock
         self._pool = pool
         self._own_address = own_address
+        self._protocol = protocol
 
-    def read(self, table, after, times):
+    def read(self, table, state, times):
         """Return the changes that the other node has.
 
+        Args:
+            table: FeedTable.
+            state: ReaderState of the reader.
+            times: ReadTimes.
+
         Raises:
             PagePending: The other node is receiving changes from the store.
             StoreError: The other node gave no usable answer.
@@ -142,9 +163,9 @@
             link = self._pool.acquire(self.name, times.timeout - times.wait)
         except LinkError as error:
             raise StoreError(str(error)) from None
+        received_bytes = link.received_bytes
         try:
-            wait_ms = int(times.wait * 1000)
-            request = FeedRequest(int(table), after, wait_ms, self._own_address)
+            request = self._make_request(table, state, times.wait)
             link.send(request, self._compute_remaining(deadline))
             message = self._receive(link, deadline)
         except (LinkError, MessageError) as error:
@@ -157,7 +178,15 @@
             link.abort()
             raise StoreError(f"{self.name}: no changes in the answer")
         self._pool.release(link)
-        return decode_answer(message)
+        page = decode_answer(message)
+        page.received_bytes = link.received_bytes - received_bytes
+        return page
+
+    def _make_request(self, table, state, wait):
+        values = (int(table), state.after, int(wait * 1000), self._own_address)
+        if self._protocol < CONTENT_PROTOCOL:
+            return FeedRequest(*values)
+        return FeedContentRequest(*values, state.content)
 
     def _receive(self, link, deadline):
         """Return the answer, which must begin before the deadline.
@@ -177,122 +206,3 @@
 
     def _compute_remaining(self, deadline):
         return max(deadline - self._clock.read_monotonic(), MIN_TIMEOUT_SECONDS)
-
-
-class SourceSelector:
-    """Selects the source that a node reads next."""
-
-    def __init__(self, clock, own_address, data_centre, region):
-        self._clock = clock
-        self._own_address = own_address
-        self._data_centre = data_centre
-        self._region = region
-        self._skipped_until = {}
-
-    def list_leaders(self, members):
-        """Return the address of each data centre's leader, nearest first.
-
-        The leader follows the store. It is the member whose address has the lowest
-        hash in its data centre.
-
-        Args:
-            members: Members of all known nodes.
-        """
-        leaders = {}
-        for member in members:
-            leader = leaders.get(member.data_centre)
-            if leader is None or _compute_rank(member) < _compute_rank(leader):
-                leaders[member.data_centre] = member
-        ordered = sorted(leaders.values(), key=self._compute_distance)
-        return [member.address for member in ordered]
-
-    def is_leader(self, members):
-        """Return whether this node follows the store for its data centre."""
-        local_members = self._list_local(members)
-        return (
-            not local_members
-            or self.list_leaders(local_members)[0] == self._own_address
-        )
-
-    def count_local(self, members):
-        """Return how many Members are in this node's data centre."""
-        return len(self._list_local(members))
-
-    def _list_local(self, members):
-        return [item for item in members if item.data_centre == self._data_centre]
-
-    def is_near(self, member):
-        """Return whether a Member is in this node's region."""
-        return member.region == self._region
-
-    def list_candidates(self, members):
-        """Return the usable sources in order of preference; "" stands for the store."""
-        leaders = self.list_leaders(members)
-        others = [address for address in leaders if address != self._own_address]
-        if self.is_leader(members):
-            order = ["", *others]
-        else:
-            order = [*others[:1], "", *others[1:]]
-        usable = [item for item in order if not self.is_skipped(item)]
-        return usable or [""]
-
-    def is_skipped(self, address):
-        """Return whether a source is skipped after a recent failure."""
-        return self._skipped_until.get(address, 0.0) > self._clock.read_monotonic()
-
-    def skip(self, address):
-        """Skip a source for a while because it failed or was behind."""
-        self._skipped_until[address] = self._clock.read_monotonic() + SKIP_SECONDS
-
-    def _compute_distance(self, member):
-        if member.data_centre == self._data_centre:
-            return 0
-        return 1 if member.region == self._region else 2
-
-
-class FeedAnswerBuilder:
-    """Builds the FeedAnswers that carry FeedPages, and caches the compressed rows.
-
-    All followers of a node ask for the same changes at the same moment.
-    """
-
-    def __init__(self):
-        self._cached = {}
-        self._lock = threading.Lock()
-
-    def build(self, table, page):
-        """Return the FeedAnswer for a FeedPage of a FeedTable."""
-        versions = [(row.key, row.version) for row in page.rows]
-        # The threads of all followers wait for the first one to compress the rows.
-        with self._lock:
-            cached_versions, packed = self._cached.get(table, (None, b""))
-            if cached_versions != versions:
-                rows = [[row.key, row.version, row.value] for row in page.rows]
-                packed = pack_list(rows)
-                self._cached[table] = (versions, packed)
-        age_ms = int(page.age * 1000)
-        return FeedAnswer(int(table), packed, page.version, page.is_whole, age_ms)
-
-
-def decode_answer(message):
-    """Return the FeedPage that a FeedAnswer carries.
-
-    Raises:
-        StoreError: The content or one of its rows is malformed.
-    """
-    rows = []
-    try:
-        items = message.unpack()
-    except MessageError as error:
-        raise StoreError(str(error)) from None
-    for item in items:
-        if type(item) is not list or [type(part) for part in item[:2]] != [str, int]:
-            raise StoreError("a row has a key and a version")
-        if len(item) != 3 or not isinstance(item[2], bytes | None):
-            raise StoreError("the value of a row is bytes or nothing")
-        rows.append(FeedRow(*item))
-    return FeedPage(rows, message.version, message.is_whole, message.age_ms / 1000)
-
-
-def _compute_rank(member):
-    return hash_text(member.address)
--- a/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
@@ -16,37 +16,39 @@
 class HintedFetches:
     """Runs one fetch at a time."""
 
-    def __init__(self, clock, executor, fetch):
+    def __init__(self, clock, executor):
         """Create without a fetch.
 
         Args:
             clock: Clock.
             executor: concurrent.futures.Executor.
-            fetch: Function that fetches the table from the node at an address, and
-                raises StoreError if it fails.
         """
         self._clock = clock
         self._executor = executor
-        self._fetch = fetch
         self._running = threading.Lock()
         self._paused_until = 0.0
         self._log = get_logger("news")
 
-    def start(self, address):
-        """Start a fetch from a node, unless one runs or has just failed."""
+    def start(self, address, fetch):
+        """Start a fetch from a node, unless one runs or has just failed.
+
+        Args:
+            address: Address of the node, for the log.
+            fetch: Function that fetches the table, and raises StoreError if it fails.
+        """
         if self._clock.read_monotonic() < self._paused_until:
             return
         if not self._running.acquire(blocking=False):
             return
         try:
-            self._executor.submit(self._run, address)
+            self._executor.submit(self._run, address, fetch)
         except RuntimeError:
             # No thread can be started now; the next hint asks again.
             self._running.release()
 
-    def _run(self, address):
+    def _run(self, address, fetch):
         try:
-            self._fetch(address)
+            fetch()
         except StoreError as error:
             self._paused_until = self._clock.read_monotonic() + PAUSE_SECONDS
             self._log.info("pull failed", peer=address, error=str(error))
--- a/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedguard.py
@@ -97,7 +97,7 @@
             admission.count_effective_in_flight(),
             admission.queued,
             admission.limit,
-            self._routes.revision,
+            self._routes.content_version,
             self._slowness,
             admission.count_home_demand(),
         )
--- a/packages/godwitrack_node/src/godwitrack_node/hostedrouting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedrouting.py
@@ -61,6 +61,7 @@
         version: Version of the store's row that holds these values.
         born: Start of the backend server's process in Unix milliseconds, or None if it
             is not known.
+        protocol: Protocol that the node understands on links; 0 for early builds.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "incarnation",
         "instance",
         "is_serving",
+        "protocol",
         "region",
         "service",
         "slots",
@@ -88,6 +90,7 @@
         incarnation,
         version=0,
         born=None,
+        protocol=0,
     ):
         self.address = address
         self.service = service
@@ -99,6 +102,7 @@
         self.incarnation = incarnation
         self.version = version
         self.born = born
+        self.protocol = protocol
 
     def has_same_values(self, other):
         """Return whether another Member has equal values, apart from its version."""
--- a/packages/godwitrack_node/src/godwitrack_node/membertable.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membertable.py
@@ -8,12 +8,15 @@
 from godwitrack.feed import FeedTable
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
+from godwitrack_node.feedsources import CONTENT_PROTOCOL
 from godwitrack_node.hostedrouting import Member, MemberView
 
 # More than any server has; larger numbers are another writer's mistake.
 MAX_SLOTS = 100_000
 MAX_INCARNATION = 2**63 - 1
 MEMBER_FIELD_TYPES = (str, str, str, int, bool, str, int)
+# Born and protocol where a row does not have them.
+EXTENSION_DEFAULTS = (None, 0)
 
 
 class MemberTable(Service):
@@ -84,17 +87,23 @@
     """
     place = (identity.service, identity.region, identity.data_centre)
     process = (slots, is_serving, instance, identity.incarnation)
-    return Member(address, *place, *process, born=born)
+    return Member(
+        address,
+        *place,
+        *process,
+        born=born,
+        protocol=CONTENT_PROTOCOL,
+    )
 
 
 def encode_member(member):
     """Encode a Member as the value of its row.
 
-    The value is a sequence of two lists. Nodes of builds that know of the first list
-    alone read the first one and pass over the second.
+    The value is a sequence of two lists. Builds that know of the first list alone pass
+    over the second; others read as many of its items as they know.
     """
-    extension = b"" if member.born is None else cbor2.dumps([member.born])
-    return _encode_fields(member) + extension
+    extension = [member.born, member.protocol]
+    return _encode_fields(member) + cbor2.dumps(extension)
 
 
 def _encode_fields(member):
@@ -126,20 +135,28 @@
         for v, expected in zip(data, MEMBER_FIELD_TYPES, strict=True)
     ):
         return None
-    member = Member(row.key, *data, row.version, _decode_born(decoder))
+    member = Member(row.key, *data, row.version, *_decode_extension(decoder))
     return member if _is_usable(member) else None
 
 
-def _decode_born(decoder):
-    """Return the start in the second list of a row, or None without a usable one."""
+def _decode_extension(decoder):
+    """Return born and protocol in the second list of a row.
+
+    A value that the row lacks, or that is of another type, has its default.
+    """
     try:
         extension = decoder.decode()
     except Exception:
         # Rows of earlier builds end here; malformed input raises many other types.
-        return None
-    if type(extension) is not list or not extension or type(extension[0]) is not int:
-        return None
-    return extension[0]
+        extension = []
+    if type(extension) is not list:
+        extension = []
+    items = [*extension[: len(EXTENSION_DEFAULTS)]]
+    items += EXTENSION_DEFAULTS[len(items) :]
+    return [
+        item if type(item) is int else default
+        for item, default in zip(items, EXTENSION_DEFAULTS, strict=True)
+    ]
 
 
 def _is_usable(member):
--- a/packages/godwitrack_node/src/godwitrack_node/routes.py
+++ b/packages/godwitrack_node/src/godwitrack_node/routes.py
@@ -62,9 +62,9 @@
         self._listeners.append(listener)
 
     @property
-    def revision(self):
-        """Version up to which the operators' table was read, or 0."""
-        return max(self._replica.version, 0)
+    def content_version(self):
+        """Version of the latest change of the operators' table here, or 0."""
+        return max(self._replica.content_version, 0)
 
     @property
     def is_ready(self):
