--- a/packages/godwitrack/src/godwitrack/controlmessages.py
+++ b/packages/godwitrack/src/godwitrack/controlmessages.py
@@ -113,16 +113,22 @@
     __slots__ = tuple(name for name, _ in FIELDS)
 
 
-class FeedContentRequest(FeedRequest):
-    """Asks for the changes to a table, and says which content the reader has.
+class FeedPatchRequest(FeedRequest):
+    """Asks for the changes to a table as patches of the values that the reader has.
 
     The field `content` is the version of the latest change that the reader has, which
-    is no later than `after`.
+    is no later than `after`. `bases` lists the key and digest of its large values.
+    With `is_patch_only`, an answer that would send a large value whole is not wanted.
     """
 
     TAG = 20
-    FIELDS = (*FeedRequest.FIELDS, ("content", int))
-    __slots__ = ("content",)
+    FIELDS = (
+        *FeedRequest.FIELDS,
+        ("content", int),
+        ("bases", list),
+        ("is_patch_only", bool),
+    )
+    __slots__ = ("bases", "content", "is_patch_only")
 
 
 class FeedPending(Message):
@@ -139,6 +145,8 @@
     The rows are compressed because the routes of a large fleet take several hundred
     kilobytes, which a VM with a slow network link would have to send to each of its
     followers. The field `age_ms` is the time since the store confirmed the content.
+
+    In the answer to a FeedPatchRequest, patches may stand in place of a large value.
     """
 
     TAG = 18
--- a/packages/godwitrack/src/godwitrack/feed.py
+++ b/packages/godwitrack/src/godwitrack/feed.py
@@ -8,12 +8,14 @@
 
 import abc
 import enum
+import hashlib
 
 from godwitrack.exceptions import StoreError
 
 FIRST_ERA = 1
 # The store's numbers stay below this, so that a later era has higher versions.
 ERA_VERSIONS = 2**44
+DIGEST_BYTES = 16
 
 
 def make_version(era, number):
@@ -41,6 +43,11 @@
     return f"{get_era(version)}:{get_number(version)}"
 
 
+def compute_digest(value):
+    """Return the digest by which nodes name a value of a row."""
+    return hashlib.blake2b(value, digest_size=DIGEST_BYTES).digest()
+
+
 class FeedTable(enum.IntEnum):
     """Tables whose changes nodes follow."""
 
@@ -57,12 +64,20 @@
         value: Bytes, or None if the row was removed.
     """
 
-    __slots__ = ("key", "value", "version")
+    __slots__ = ("_digest", "key", "value", "version")
 
     def __init__(self, key, version, value):
         self.key = key
         self.version = version
         self.value = value
+        self._digest = None
+
+    @property
+    def digest(self):
+        """Digest of the value, which is not None."""
+        if self._digest is None:
+            self._digest = compute_digest(self.value)
+        return self._digest
 
 
 class FeedPage:
@@ -94,13 +109,15 @@
         after: Version up to which it has all changes, or -1 for none.
         content: Version of the latest change that it has; no later than `after`, which
             moves with the changes of all tables.
+        bases: List of (key, digest) of its large values.
     """
 
-    __slots__ = ("after", "content")
+    __slots__ = ("after", "bases", "content")
 
-    def __init__(self, after, content):
+    def __init__(self, after, content, bases=()):
         self.after = after
         self.content = content
+        self.bases = list(bases)
 
 
 class HistoryLost(StoreError):
--- a/packages/godwitrack/src/godwitrack/messages.py
+++ b/packages/godwitrack/src/godwitrack/messages.py
@@ -17,7 +17,7 @@
     ChangesRequest,
     DigestRequest,
     FeedAnswer,
-    FeedContentRequest,
+    FeedPatchRequest,
     FeedPending,
     FeedRequest,
     Ping,
@@ -50,7 +50,7 @@
         FeedRequest,
         FeedAnswer,
         FeedPending,
-        FeedContentRequest,
+        FeedPatchRequest,
     )
 }
 
--- a/packages/godwitrack_node/src/godwitrack_node/feedanswers.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedanswers.py
@@ -6,8 +6,9 @@
 from godwitrack.exceptions import MessageError, StoreError
 from godwitrack.feed import FeedPage, FeedRow
 from godwitrack.message import pack_list
+from godwitrack.patches import Patch, PatchedRow
 
-# Readers ask for the rows after different versions.
+# Readers ask for the rows after different versions, and with different bases.
 MAX_CACHED = 4
 
 
@@ -26,7 +27,7 @@
 
         Args:
             table: FeedTable.
-            page: FeedPage.
+            page: FeedPage, whose rows may be PatchedRows.
         """
         # The threads of all followers wait for the first one to compress the rows.
         with self._lock:
@@ -36,11 +37,11 @@
 
     def _pack(self, table, rows):
         cached = self._cached.setdefault(table, {})
-        content = tuple((row.key, row.version) for row in rows)
+        content = tuple((row.key, row.version, _find_base(row)) for row in rows)
         if content not in cached:
             while len(cached) >= MAX_CACHED:
                 del cached[next(iter(cached))]
-            cached[content] = pack_list([[r.key, r.version, r.value] for r in rows])
+            cached[content] = pack_list([_encode_row(row) for row in rows])
         return cached[content]
 
 
@@ -58,9 +59,25 @@
     return FeedPage(rows, message.version, message.is_whole, message.age_ms / 1000)
 
 
+def _find_base(row):
+    """Return the digest that a row's patches apply to, or None for a whole row."""
+    if type(row) is PatchedRow and row.patches:
+        return row.patches[0].base
+    return None
+
+
+def _encode_row(row):
+    if type(row) is PatchedRow:
+        return [row.key, row.version, [patch.to_data() for patch in row.patches]]
+    return [row.key, row.version, row.value]
+
+
 def _decode_row(item):
     if type(item) is not list or [type(part) for part in item[:2]] != [str, int]:
         raise StoreError("a row has a key and a version")
-    if len(item) != 3 or not isinstance(item[2], bytes | None):
-        raise StoreError("the value of a row is bytes or nothing")
-    return FeedRow(*item)
+    if len(item) != 3 or not isinstance(item[2], bytes | list | None):
+        raise StoreError("the value of a row is bytes, a list of patches, or nothing")
+    key, version, value = item
+    if type(value) is list:
+        return PatchedRow(key, version, [Patch.from_data(data) for data in value])
+    return FeedRow(key, version, value)
--- a/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
@@ -6,10 +6,12 @@
 from godwitrack.exceptions import StoreError
 from godwitrack.feed import HistoryLost, ReaderState, format_version
 from godwitrack.logs import get_logger
+from godwitrack.patches import PatchedRow, PatchError
 from godwitrack_node.backoff import MAX_PAUSE_SECONDS, Backoff
 from godwitrack_node.feedfreshness import PEER_MARGIN_SECONDS, ReadTimes
 from godwitrack_node.feedreplica import FeedReplica
 from godwitrack_node.feedsources import (
+    PATCH_PROTOCOL,
     PagePending,
     PeerSource,
 )
@@ -36,6 +38,8 @@
 
     Attributes:
         replica: FeedReplica that it keeps up to date.
+        patch_count: Rows that came as patches.
+        refused_patch_count: Pages with patches that did not apply.
     """
 
     def __init__(self, table, clock, store_source, selector, rule, own_address):
@@ -50,6 +54,8 @@
             own_address: "host:port" at which other nodes open links to this one.
         """
         self.replica = FeedReplica(clock)
+        self.patch_count = 0
+        self.refused_patch_count = 0
         self._table = table
         self._clock = clock
         self._store_source = store_source
@@ -132,19 +138,23 @@
         backoff.reset()
         return has_changed
 
-    def fetch(self, address):
+    def fetch(self, address, is_patch_only, times=NO_WAIT):
         """Read from one node and merge what it has.
 
         Args:
             address: "host:port" of the node's links.
+            is_patch_only: Whether large values are wanted as patches or not at all.
+            times: ReadTimes.
 
         Raises:
             StoreError: The node gave no usable answer.
         """
-        page = self._read_peer(address, NO_WAIT)
+        if is_patch_only and self._find_protocol(address) < PATCH_PROTOCOL:
+            raise StoreError(f"{address} makes no patches")
+        page = self._read_peer(address, times, is_patch_only)
         if page.version < 0:
             raise StoreError(f"{address} has nothing to send")
-        self._merge(page, address)
+        self._merge_from(address, page)
 
     def can_reach(self, address):
         """Return whether another node answers a read.
@@ -152,7 +162,7 @@
         The request also tells that node the address of this one.
         """
         try:
-            self._read_peer(address, NO_WAIT)
+            self._read_peer(address, NO_WAIT, is_patch_only=True)
         except PagePending:
             return True
         except StoreError as error:
@@ -243,7 +253,7 @@
         page = self._read_peer(address, times)
         if page.version < max(content, 0):
             raise StoreError(f"{address} is behind")
-        has_changed = self._merge(page, address)
+        has_changed = self._merge_from(address, page)
         # In an outage of the store all content grows old. A node that had none accepts
         # it, as old content is better than none.
         if content >= 0 and not self._rule.is_fresh(page.age):
@@ -275,7 +285,7 @@
             )
         return page
 
-    def _read_peer(self, address, times):
+    def _read_peer(self, address, times, is_patch_only=False, may_patch=True):
         source = PeerSource(
             self._clock,
             self._pool,
@@ -283,18 +293,37 @@
             self._own_address,
             self._find_protocol(address),
         )
-        return source.read(self._table, self.replica.describe(), times)
+        state = self.replica.describe()
+        if not may_patch:
+            state.bases.clear()
+        return source.read(self._table, state, times, is_patch_only)
 
     def _find_protocol(self, address):
         view = self._member_table.get_view(address)
         return 0 if view is None else view.member.protocol
 
+    def _merge_from(self, address, page):
+        """Merge a node's page; if its patches do not apply, read the values whole."""
+        try:
+            return self._merge(page, address)
+        except PatchError as error:
+            self.refused_patch_count += 1
+            self._log.warning(
+                "patch refused",
+                table=self._table.name,
+                source=address,
+                error=str(error),
+            )
+        return self._merge(self._read_peer(address, NO_WAIT, may_patch=False), address)
+
     def _merge(self, page, source):
         with self._merge_lock:
             if page.version < self.replica.version:
                 self._log_older(page, source)
             if not self.replica.merge(page):
                 return False
+            patches = sum(type(row) is PatchedRow for row in page.rows)
+            self.patch_count += patches
             self._log.info(
                 "table changed",
                 table=self._table.name,
@@ -302,6 +331,7 @@
                 rows=len(page.rows),
                 is_whole=page.is_whole,
                 source=source,
+                patches=patches,
                 received_bytes=page.received_bytes,
                 age_ms=self.replica.age_ms,
             )
--- a/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedreplica.py
@@ -3,6 +3,8 @@
 import threading
 
 from godwitrack.feed import FeedPage, ReaderState, get_era
+from godwitrack.patches import MIN_PATCH_BYTES, PatchedRow
+from godwitrack_node.patchlog import PatchLog
 
 MAX_REMOVED_ROWS = 1000
 # Time for the writers of lost rows to notice the restoration and write them again.
@@ -31,6 +33,7 @@
         self._lost_until = 0.0
         self._version = -1
         self._content_version = -1
+        self._patches = PatchLog()
         # All removals after this version are kept.
         self._complete_since = 0
         self._confirmed_at = None
@@ -79,17 +82,43 @@
     def describe(self):
         """Return the ReaderState of this replica, for a read from another node."""
         with self._changed:
-            return ReaderState(self._version, self._content_version)
+            bases = [
+                (row.key, row.digest)
+                for row in self._rows.values()
+                if len(row.value) >= MIN_PATCH_BYTES
+            ]
+            return ReaderState(self._version, self._content_version, bases)
+
+    def shorten(self, page, bases):
+        """Return a FeedPage with PatchedRows in place of the rows that patches lead to.
+
+        Args:
+            page: FeedPage of this replica.
+            bases: Mapping from key to the digest of the value that the reader has.
+        """
+        with self._changed:
+            rows = [self._shorten_row(row, bases.get(row.key)) for row in page.rows]
+        return FeedPage(rows, page.version, page.is_whole, page.age)
+
+    def _shorten_row(self, row, base):
+        if base is None or row.value is None or len(row.value) < MIN_PATCH_BYTES:
+            return row
+        patches = self._patches.find(row, base)
+        return row if patches is None else PatchedRow(row.key, row.version, patches)
 
     def merge(self, page):
-        """Merge a FeedPage.
+        """Merge a FeedPage, whose rows may be PatchedRows.
 
         Returns:
             Whether any row changed.
+
+        Raises:
+            PatchError: A patch does not apply; nothing was changed.
         """
         with self._changed:
             if page.version < self._version:
                 return False
+            rows = [row for item in page.rows for row in self._resolve(item)]
             self._update_confirmed_at(page)
             has_changed = self._version < 0
             if page.is_whole:
@@ -98,7 +127,7 @@
                     has_changed = True
                     self._content_version = page.version
                 self._complete_since = page.version
-            for row in page.rows:
+            for row in rows:
                 has_changed |= self._merge_row(row)
             has_changed |= self._expire_lost()
             self._version = page.version
@@ -173,11 +202,28 @@
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
 
+    def _resolve(self, item):
+        """Return a list of the FeedRow for a row of a page, if it is new.
+
+        Raises:
+            PatchError: A patch does not apply to the row's present value.
+        """
+        if type(item) is not PatchedRow:
+            return [item]
+        known = self._rows.get(item.key)
+        if known is not None and known.version >= item.version:
+            return []
+        row = item.resolve(known)
+        self._patches.add(row.key, item.patches)
+        return [row]
+
     def _merge_row(self, row):
         known = self._rows.get(row.key) or self._removed.get(row.key)
         if known is not None and known.version >= row.version:
             return False
         self._content_version = max(self._content_version, row.version)
+        if known is not None and known.value is not None:
+            self._patches.add_change(known, row)
         self._lost.pop(row.key, None)
         if row.value is None:
             self._rows.pop(row.key, None)
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -4,7 +4,7 @@
 
 from godwitrack.controlmessages import (
     FeedAnswer,
-    FeedContentRequest,
+    FeedPatchRequest,
     FeedPending,
     FeedRequest,
 )
@@ -21,8 +21,8 @@
 MAX_PAUSE_SECONDS = 1.0
 # Time for an answer of another node that goes on arriving.
 MAX_ANSWER_SECONDS = 10.0
-# Builds from this one on say which content they have.
-CONTENT_PROTOCOL = 1
+# Builds from this one on understand patches.
+PATCH_PROTOCOL = 1
 
 
 class PagePending(StoreError):
@@ -146,13 +146,15 @@
         self._own_address = own_address
         self._protocol = protocol
 
-    def read(self, table, state, times):
+    def read(self, table, state, times, is_patch_only=False):
         """Return the changes that the other node has.
 
         Args:
             table: FeedTable.
             state: ReaderState of the reader.
             times: ReadTimes.
+            is_patch_only: Whether large values are wanted as patches or not at all, if
+                the other node understands that.
 
         Raises:
             PagePending: The other node is receiving changes from the store.
@@ -165,7 +167,7 @@
             raise StoreError(str(error)) from None
         received_bytes = link.received_bytes
         try:
-            request = self._make_request(table, state, times.wait)
+            request = self._make_request(table, state, times.wait, is_patch_only)
             link.send(request, self._compute_remaining(deadline))
             message = self._receive(link, deadline)
         except (LinkError, MessageError) as error:
@@ -182,11 +184,12 @@
         page.received_bytes = link.received_bytes - received_bytes
         return page
 
-    def _make_request(self, table, state, wait):
+    def _make_request(self, table, state, wait, is_patch_only):
         values = (int(table), state.after, int(wait * 1000), self._own_address)
-        if self._protocol < CONTENT_PROTOCOL:
+        if self._protocol < PATCH_PROTOCOL:
             return FeedRequest(*values)
-        return FeedContentRequest(*values, state.content)
+        bases = [list(base) for base in state.bases]
+        return FeedPatchRequest(*values, state.content, bases, is_patch_only)
 
     def _receive(self, link, deadline):
         """Return the answer, which must begin before the deadline.
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -2,10 +2,11 @@
 
 import functools
 
-from godwitrack.controlmessages import FeedContentRequest, FeedPending, FeedRequest
+from godwitrack.controlmessages import FeedPatchRequest, FeedPending, FeedRequest
 from godwitrack.exceptions import MessageError
-from godwitrack.feed import FeedTable
+from godwitrack.feed import FeedPage, FeedTable
 from godwitrack.kernel import Service
+from godwitrack.patches import MIN_PATCH_BYTES, PatchedRow
 from godwitrack_node.feedanswers import FeedAnswerBuilder
 from godwitrack_node.feedfollower import FeedFollower
 from godwitrack_node.feedfreshness import make_freshness_rules
@@ -88,7 +89,8 @@
         """Fetch the operators' table from a node that may know a later change.
 
         Every answer of that node may carry this hint. The link between regions is
-        narrow: only a leader that has lost the store reads from another region.
+        narrow: only a leader reads from another region, and large values only as
+        patches unless it has lost the store.
 
         Args:
             address: "host:port" of that node's links.
@@ -97,12 +99,10 @@
         follower = self._followers[FeedTable.OPERATORS]
         if content_version <= follower.replica.content_version:
             return
-        if self._store_source.is_receiving(FeedTable.OPERATORS):
-            return
-        if follower.is_near(address) or (
-            not follower.is_fresh() and follower.is_leader()
-        ):
-            fetch = functools.partial(follower.fetch, address)
+        is_near = follower.is_near(address)
+        if is_near or follower.is_leader():
+            is_patch_only = not is_near and follower.is_fresh()
+            fetch = functools.partial(follower.fetch, address, is_patch_only)
             self._fetches.start(address, fetch)
 
     def can_reach(self, address):
@@ -113,7 +113,7 @@
         return self._followers[FeedTable.OPERATORS].can_reach(address)
 
     def answer(self, message, session):
-        """Return the answer to a FeedRequest or FeedContentRequest of another node.
+        """Return the answer to a FeedRequest or FeedPatchRequest of another node.
 
         While changes are arriving from the store, a node that waits for them is told
         so: reading the store itself would take longer, and slow down this read.
@@ -137,13 +137,38 @@
     def _read_for(self, message, table, replica):
         """Return the FeedPage that answers a request, or None if it is arriving."""
         wait = min(max(message.wait_ms, 0), MAX_LONG_POLL_MS) / 1000
-        has_content = type(message) is FeedContentRequest
-        return replica.read_for_follower(
+        has_patches = type(message) is FeedPatchRequest
+        page = replica.read_for_follower(
             message.after,
             wait,
             lambda: self._store_source.is_receiving(table),
-            message.content if has_content else message.after,
+            message.content if has_patches else message.after,
         )
+        if page is None or not has_patches:
+            return page
+        page = replica.shorten(page, _read_bases(message))
+        if message.is_patch_only and any(map(_is_large, page.rows)):
+            return FeedPage([], -1, False)
+        return page
 
     def _notice_large_page(self, table):
         self._followers[table].replica.wake_readers()
+
+
+def _read_bases(message):
+    """Return the mapping from key to digest that a FeedPatchRequest names.
+
+    Raises:
+        MessageError: An item is not a pair of a key and a digest.
+    """
+    for item in message.bases:
+        if type(item) is not list or [type(part) for part in item] != [str, bytes]:
+            raise MessageError("a base has a key and a digest")
+    return dict(message.bases)
+
+
+def _is_large(row):
+    """Return whether a row holds a large value whole."""
+    if type(row) is PatchedRow or row.value is None:
+        return False
+    return len(row.value) >= MIN_PATCH_BYTES
--- a/packages/godwitrack_node/src/godwitrack_node/membertable.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membertable.py
@@ -8,7 +8,7 @@
 from godwitrack.feed import FeedTable
 from godwitrack.kernel import Service
 from godwitrack.logs import get_logger
-from godwitrack_node.feedsources import CONTENT_PROTOCOL
+from godwitrack_node.feedsources import PATCH_PROTOCOL
 from godwitrack_node.hostedrouting import Member, MemberView
 
 # More than any server has; larger numbers are another writer's mistake.
@@ -92,7 +92,7 @@
         *place,
         *process,
         born=born,
-        protocol=CONTENT_PROTOCOL,
+        protocol=PATCH_PROTOCOL,
     )
 
 
--- a/tests/feedparts.py
+++ b/tests/feedparts.py
@@ -1,7 +1,7 @@
 """Parts around a FeedSync in tests that need no node: members, kernel, replica."""
 
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
-from godwitrack_node.feedsources import CONTENT_PROTOCOL
+from godwitrack_node.feedsources import PATCH_PROTOCOL
 from godwitrack_node.feedsync import FeedSync
 from godwitrack_node.hostedrouting import Member, MemberView
 from godwitrack_node.routing import Location
@@ -25,7 +25,7 @@
                     True,
                     "i",
                     1,
-                    protocol=CONTENT_PROTOCOL,
+                    protocol=PATCH_PROTOCOL,
                 )
             )
             for address in addresses
--- a/tests/test_feedsync.py
+++ b/tests/test_feedsync.py
@@ -105,19 +105,19 @@
 
 
 @pytest.mark.parametrize(
-    ("address", "leader", "age", "is_fetched"),
+    ("address", "leader", "age", "fetches"),
     [
-        (NEAR, NEAR, 0.0, True),
-        (NEAR, NEAR, 5.0, True),
-        (FAR, NEAR, 0.0, False),
-        (FAR, NEAR, 5.0, False),
-        # A leader that still hears from the store gets the change from there.
-        (FAR, OWN, 0.0, False),
-        (FAR, OWN, 5.0, True),
+        (NEAR, NEAR, 0.0, [(NEAR, False)]),
+        (NEAR, NEAR, 5.0, [(NEAR, False)]),
+        (FAR, NEAR, 0.0, []),
+        (FAR, NEAR, 5.0, []),
+        # A leader that still hears from the store takes no whole list from there.
+        (FAR, OWN, 0.0, [(FAR, True)]),
+        (FAR, OWN, 5.0, [(FAR, False)]),
     ],
 )
-def test_a_hint_from_another_region_is_followed_only_by_a_leader_without_store(
-    clock, address, leader, age, is_fetched
+def test_a_hint_from_another_region_is_followed_only_by_a_leader(
+    clock, monkeypatch, address, leader, age, fetches
 ):
     """Guards against a link between regions full of fetches of long lists (DENIED)."""
     executor = DeferredExecutor()
@@ -125,10 +125,16 @@
         clock, executor, None, OWN, Location("south", "dc-a"), APPLY_SECONDS
     )
     feed_sync.connect(StubKernel(leader))
-    feed_sync.get_replica(FeedTable.OPERATORS).merge(FeedPage([], REVISION - 1, True))
+    follower = feed_sync.get_follower(FeedTable.OPERATORS)
+    follower.replica.merge(FeedPage([], REVISION - 1, True))
     clock.advance(age)
+    found = []
+    monkeypatch.setattr(
+        follower, "fetch", lambda *arguments: found.append(arguments), raising=True
+    )
     feed_sync.hint(address, REVISION)
-    assert len(executor.jobs) == is_fetched
+    executor.run()
+    assert found == fetches
 
 
 class SlowReader(OperatorsRowReader):
--- a/tests/test_longlists.py
+++ b/tests/test_longlists.py
@@ -1,21 +1,139 @@
-"""Tests of reads of a long list of routes by followers of a leader."""
+"""Tests of changes of a long list of routes: what they cost, and who sends them."""
 
 import random
+import time
 
 import pytest
 
+from fakeplatform import APPLY_SECONDS, Fleet
 from feedparts import make_feed_sync
-from godwitrack.controlmessages import FeedContentRequest, FeedRequest
-from godwitrack.feed import FeedPage, FeedTable
+from godwitrack.controlmessages import FeedPatchRequest, FeedRequest
+from godwitrack.exceptions import MessageError
+from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack.hashing import hash_text
+from godwitrack.patches import MIN_PATCH_BYTES, make_patch
+from godwitrack_node import membertable
 from godwitrack_node.backoff import Backoff
-
+from godwitrack_node.feedanswers import FeedAnswerBuilder
+from hostedfleet import RESOURCES
+from operatorsrows import make_config, make_route
+from testcaller import wait_for
+
+MACHINE_SPECS = [("scenbok", "dc-a"), ("styrning", "dc-a"), ("scenbok", "dc-a")]
+MACHINE_SPECS += [("scenbok", "dc-b"), ("styrning", "dc-b"), ("scenbok", "dc-b")]
+ROUTE_COUNT = 600
+# Some hundred bytes for a patch; the compressed list takes fifty times that.
+MAX_CHANGE_BYTES = 2000
 VERSION = 5
 LEADER, OWN = sorted(("10.0.0.1:7000", "10.0.0.2:7000"), key=hash_text)
 
 
-def make_request(position, content):
-    return FeedContentRequest(int(FeedTable.OPERATORS), position, 0, OWN, content)
+def make_long_list(version, weight):
+    routes = [
+        make_route(
+            f"more-{n}", f"/more-{n}/", "scenbok", weight=weight if n == 0 else 1
+        )
+        for n in range(ROUTE_COUNT)
+    ]
+    return make_config(version, *RESOURCES, *routes)
+
+
+def wait_in_force(fleet, revision):
+    wait_for(
+        lambda: all(
+            machine.find("configurations").table.revision == revision
+            for machine in fleet.machines
+        )
+    )
+
+
+def get_follower(machine):
+    return machine.find("membership").get_follower(FeedTable.OPERATORS)
+
+
+@pytest.fixture
+def long_list_fleet():
+    """Six hosted nodes with a long list of routes."""
+    fleet = Fleet(MACHINE_SPECS)
+    try:
+        fleet.store.put("op", "config", make_long_list(4, 1))
+        fleet.wait_ready()
+        # Nodes that just started have a poll to the store open.
+        time.sleep(APPLY_SECONDS)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def record_pages(fleet, monkeypatch):
+    """Return a list that receives the (source, received bytes) of each later page."""
+    pages = []
+    for machine in fleet.machines:
+        follower = get_follower(machine)
+
+        def merge(page, source, merge=follower._merge):
+            if page.rows:
+                pages.append((source, page.received_bytes))
+            return merge(page, source)
+
+        monkeypatch.setattr(follower, "_merge", merge)
+    return pages
+
+
+def test_a_change_of_one_weight_costs_what_it_changes(long_list_fleet, monkeypatch):
+    """Guards against a whole list for each node, through one leader's link (CONFIG)."""
+    pages = record_pages(long_list_fleet, monkeypatch)
+    long_list_fleet.store.put("op", "config", make_long_list(5, 2))
+    wait_in_force(long_list_fleet, 5)
+    from_nodes = [size for source, size in pages if source != "store"]
+    assert len(from_nodes) >= len(MACHINE_SPECS) - 2
+    assert max(from_nodes) <= MAX_CHANGE_BYTES
+    # Each data centre's leader reads the store.
+    assert len(pages) - len(from_nodes) <= 2
+
+
+def test_nodes_of_builds_without_patches_get_whole_lists(monkeypatch):
+    """Guards against nodes of two builds that do not understand each other."""
+    monkeypatch.setattr(membertable, "PATCH_PROTOCOL", 0)
+    fleet = Fleet(MACHINE_SPECS[:3])
+    try:
+        fleet.store.put("op", "config", make_long_list(4, 1))
+        fleet.wait_ready()
+        fleet.store.put("op", "config", make_long_list(5, 2))
+        wait_in_force(fleet, 5)
+        assert not any(get_follower(machine).patch_count for machine in fleet.machines)
+    finally:
+        fleet.close()
+
+
+def test_a_refused_patch_leads_to_one_read_of_the_whole_list(
+    long_list_fleet, monkeypatch
+):
+    """A wrong patch costs time, and never leads to another list."""
+    wrong = make_patch(b"{}" * MIN_PATCH_BYTES, b"[]" * MIN_PATCH_BYTES)
+    for machine in long_list_fleet.machines:
+        log = get_follower(machine).replica._patches
+        monkeypatch.setattr(log, "find", lambda row, base: [wrong])
+    long_list_fleet.store.put("op", "config", make_long_list(5, 2))
+    wait_in_force(long_list_fleet, 5)
+    followers = [get_follower(machine) for machine in long_list_fleet.machines]
+    assert sum(follower.refused_patch_count for follower in followers) >= 4
+    values = {follower.replica.find("config").value for follower in followers}
+    assert len(values) == 1
+
+
+def make_request(table=FeedTable.OPERATORS, after=VERSION, content=VERSION, bases=()):
+    values = (int(table), after, 0, OWN, content, [list(base) for base in bases], True)
+    return FeedPatchRequest(*values)
+
+
+@pytest.mark.parametrize("bases", [[["a"]], [["a", "b"]], [[b"a", b"b"]], [1]])
+def test_a_request_with_malformed_bases_is_an_error(clock, bases):
+    feed_sync, _ = make_feed_sync(clock, LEADER, [LEADER, OWN], None)
+    request = make_request()
+    request.bases = bases
+    with pytest.raises(MessageError):
+        feed_sync.answer(request, None)
 
 
 @pytest.mark.parametrize(
@@ -38,7 +156,7 @@
     """
     feed_sync, replica = make_feed_sync(clock, LEADER, [LEADER, OWN], None)
     replica.merge(FeedPage([], 8, False))
-    request = make_request(position, content)
+    request = make_request(after=position, content=content)
     assert feed_sync.answer(request, None).version == version
     # Builds without patches say no more than their position.
     request = FeedRequest(int(FeedTable.OPERATORS), position, 0, OWN)
@@ -82,3 +200,13 @@
     follower.follow_once(Backoff(random.Random(1)))
     assert not follower.is_skipped(LEADER)
     assert replica.version == max(position, 9)
+
+
+def test_an_answer_is_compressed_once_for_all_with_the_same_base():
+    """All followers ask at the same moment, some of them with another base."""
+    builder = FeedAnswerBuilder()
+    page = FeedPage(
+        [FeedRow("config", VERSION, b"x" * MIN_PATCH_BYTES)], VERSION, False
+    )
+    first = builder.build(FeedTable.OPERATORS, page).packed
+    assert builder.build(FeedTable.OPERATORS, page).packed is first
