--- a/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
@@ -229,7 +229,8 @@
         if not members and self.replica.version < 0 and self._requesters:
             store = [] if self._selector.is_skipped("") else [""]
             return self._rng.choice([*store, *self._requesters])
-        return self._selector.list_candidates(members)[0]
+        has_time = self.replica.age is None or self.is_fresh()
+        return self._selector.list_candidates(members, has_time)[0]
 
     def _list_reachable_members(self):
         addresses = [member.address for member in self._member_table.list_members()]
--- a/packages/godwitrack_node/src/godwitrack_node/hostednode.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostednode.py
@@ -37,6 +37,7 @@
 from godwitrack_node.routes import Routes
 from godwitrack_node.routing import Location
 from godwitrack_node.scheduler import Scheduler
+from godwitrack_node.sourceselector import compute_relay_class
 from godwitrack_node.threadpool import ThreadPool
 from godwitrack_node.warmuprate import COLD_WINDOW_SECONDS
 
@@ -102,6 +103,8 @@
         stop_seconds: Maximum duration of a planned stop in seconds.
         retry_limits: RetryLimits.
         secret: Secret that all nodes share.
+        link_megabits: Bandwidth of the VM's network link in Mbit/s.
+        cores: Processor cores that the node may use.
     """
 
     __slots__ = (
@@ -109,7 +112,9 @@
         "apply_seconds",
         "callers",
         "cold_tolerance",
+        "cores",
         "data_centre",
+        "link_megabits",
         "links",
         "metrics",
         "name",
@@ -186,6 +191,7 @@
             settings.region,
             settings.data_centre,
             int(self._clock.read_wall() * 1_000_000),
+            compute_relay_class(settings.link_megabits, settings.cores),
         )
         self.kernel = Kernel()
         self._register(settings, adapter)
--- a/packages/godwitrack_node/src/godwitrack_node/hostedrouting.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedrouting.py
@@ -62,6 +62,7 @@
         born: Start of the backend server's process in Unix milliseconds, or None if it
             is not known.
         protocol: Protocol that the node understands on links; 0 for early builds.
+        relay_class: How much the node can pass on to others, see `sourceselector`.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         "is_serving",
         "protocol",
         "region",
+        "relay_class",
         "service",
         "slots",
         "version",
@@ -91,6 +93,7 @@
         version=0,
         born=None,
         protocol=0,
+        relay_class=0,
     ):
         self.address = address
         self.service = service
@@ -103,6 +106,7 @@
         self.version = version
         self.born = born
         self.protocol = protocol
+        self.relay_class = relay_class
 
     def has_same_values(self, other):
         """Return whether another Member has equal values, apart from its version."""
--- a/packages/godwitrack_node/src/godwitrack_node/identity.py
+++ b/packages/godwitrack_node/src/godwitrack_node/identity.py
@@ -12,6 +12,7 @@
         region: Name of the region.
         data_centre: Name of the data centre.
         incarnation: Microseconds since the Unix epoch at the node's start.
+        relay_class: How much the node can pass on to others, see `sourceselector`.
     """
 
     __slots__ = (
@@ -21,15 +22,17 @@
         "incarnation",
         "name",
         "region",
+        "relay_class",
         "service",
     )
 
-    def __init__(self, name, service, region, data_centre, incarnation):
+    def __init__(self, name, service, region, data_centre, incarnation, relay_class=0):
         self.name = name
         self.service = service
         self.region = region
         self.data_centre = data_centre
         self.incarnation = incarnation
+        self.relay_class = relay_class
         self._prefix = f"{name}.{incarnation:x}"
         self._counter = itertools.count(1)
 
--- a/packages/godwitrack_node/src/godwitrack_node/membertable.py
+++ b/packages/godwitrack_node/src/godwitrack_node/membertable.py
@@ -10,13 +10,14 @@
 from godwitrack.logs import get_logger
 from godwitrack_node.feedsources import PATCH_PROTOCOL
 from godwitrack_node.hostedrouting import Member, MemberView
+from godwitrack_node.sourceselector import MAX_RELAY_CLASS
 
 # More than any server has; larger numbers are another writer's mistake.
 MAX_SLOTS = 100_000
 MAX_INCARNATION = 2**63 - 1
 MEMBER_FIELD_TYPES = (str, str, str, int, bool, str, int)
-# Born and protocol where a row does not have them.
-EXTENSION_DEFAULTS = (None, 0)
+# Born, protocol and relay class where a row does not have them.
+EXTENSION_DEFAULTS = (None, 0, 0)
 
 
 class MemberTable(Service):
@@ -93,6 +94,7 @@
         *process,
         born=born,
         protocol=PATCH_PROTOCOL,
+        relay_class=identity.relay_class,
     )
 
 
@@ -102,7 +104,7 @@
     The value is a sequence of two lists. Builds that know of the first list alone pass
     over the second; others read as many of its items as they know.
     """
-    extension = [member.born, member.protocol]
+    extension = [member.born, member.protocol, member.relay_class]
     return _encode_fields(member) + cbor2.dumps(extension)
 
 
@@ -140,7 +142,7 @@
 
 
 def _decode_extension(decoder):
-    """Return born and protocol in the second list of a row.
+    """Return born, protocol and relay class in the second list of a row.
 
     A value that the row lacks, or that is of another type, has its default.
     """
@@ -153,10 +155,11 @@
         extension = []
     items = [*extension[: len(EXTENSION_DEFAULTS)]]
     items += EXTENSION_DEFAULTS[len(items) :]
-    return [
+    born, protocol, relay_class = [
         item if type(item) is int else default
         for item, default in zip(items, EXTENSION_DEFAULTS, strict=True)
     ]
+    return born, protocol, min(max(relay_class, 0), MAX_RELAY_CLASS)
 
 
 def _is_usable(member):
--- a/packages/godwitrack_node/src/godwitrack_node/sourceselector.py
+++ b/packages/godwitrack_node/src/godwitrack_node/sourceselector.py
@@ -2,13 +2,34 @@
 
 Load pattern: a fleet in which each call to the store is billed and each change would
 wake every node. One node in each data centre, its leader, follows the store, and all
-others follow that node, and read from the store themselves when it is silent or behind.
+others follow that node. VMs differ: a long list fills a narrow link for a second, and
+all followers wait for it. So the VM that can pass on most leads. If it is lost, one
+node, the deputy, reads the store in its place, and the others follow the deputy.
 """
 
+import math
+
 from godwitrack.hashing import hash_text
 
 # Time for which a failed source is skipped.
 SKIP_SECONDS = 2.0
+# A core compresses and sends a list about as fast as a link of this many Mbit/s.
+MEGABITS_PER_CORE = 50.0
+# VMs beyond this pass on any list in well under a second.
+MAX_RELAY_CLASS = 6
+
+
+def compute_relay_class(link_megabits, cores):
+    """Return how much a VM can pass on to others, from 0 to MAX_RELAY_CLASS.
+
+    Each class can pass on twice as much as the one below it.
+
+    Args:
+        link_megabits: Bandwidth of the VM's network link in Mbit/s.
+        cores: Processor cores that the VM may use.
+    """
+    megabits = min(link_megabits, cores * MEGABITS_PER_CORE)
+    return min(int(math.log2(max(megabits, 1.0))), MAX_RELAY_CLASS)
 
 
 class SourceSelector:
@@ -40,6 +61,16 @@
         ranked = self._rank_local(members)
         return not ranked or ranked[0].address == self._own_address
 
+    def find_remote_leader(self, members):
+        """Return the leader in another region that can pass on most, or None."""
+        leaders = set(self.list_leaders(members))
+        remote = [
+            member
+            for member in members
+            if member.address in leaders and member.region != self._region
+        ]
+        return min(remote, key=_compute_rank).address if remote else None
+
     def count_local(self, members):
         """Return how many Members are in this node's data centre."""
         return len(self._rank_local(members))
@@ -48,18 +79,21 @@
         """Return whether a Member is in this node's region."""
         return member.region == self._region
 
-    def list_candidates(self, members):
+    def list_candidates(self, members, may_ask_deputy=True):
         """Return the usable sources in order of preference; "" stands for the store.
 
         Args:
             members: Members of all known nodes.
+            may_ask_deputy: Whether there is time to ask another node before the store.
         """
         ranked = [member.address for member in self._rank_local(members)]
         remote = [item for item in self.list_leaders(members) if item not in ranked]
         if not ranked or ranked[0] == self._own_address:
             order = ["", *remote]
         else:
-            order = [ranked[0], "", *remote]
+            nodes = ranked[: 2 if may_ask_deputy else 1]
+            nodes = [item for item in nodes if item != self._own_address]
+            order = [*nodes, "", *remote]
         usable = [item for item in order if not self.is_skipped(item)]
         return usable or [""]
 
@@ -82,4 +116,4 @@
 
 
 def _compute_rank(member):
-    return hash_text(member.address)
+    return (-member.relay_class, hash_text(member.address))
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -69,6 +69,8 @@
             stop_seconds=5.0,
             retry_limits=RetryLimits(0.2, 10.0, 64.0),
             secret="a secret that all nodes share",
+            link_megabits=1000.0,
+            cores=1.0,
         )
         self.node = None
         self._stopped = threading.Event()
--- a/tests/test_longlists.py
+++ b/tests/test_longlists.py
@@ -15,8 +15,14 @@
 from godwitrack_node import membertable
 from godwitrack_node.backoff import Backoff
 from godwitrack_node.feedanswers import FeedAnswerBuilder
+from godwitrack_node.sourceselector import (
+    MAX_RELAY_CLASS,
+    SourceSelector,
+    compute_relay_class,
+)
 from hostedfleet import RESOURCES
 from operatorsrows import make_config, make_route
+from test_feedreplica import make_member
 from testcaller import wait_for
 
 MACHINE_SPECS = [("scenbok", "dc-a"), ("styrning", "dc-a"), ("scenbok", "dc-a")]
@@ -202,6 +208,36 @@
     assert replica.version == max(position, 9)
 
 
+@pytest.mark.parametrize(
+    ("megabits", "cores", "expected"),
+    [
+        (5.0, 2.15, 2),
+        (10.0, 0.43, 3),
+        (100.0, 0.43, 4),
+        (1000.0, 0.86, 5),
+        (100.0, 2.15, 6),
+        (1e9, 1e9, MAX_RELAY_CLASS),
+        (0.0, 0.0, 0),
+    ],
+)
+def test_a_narrow_link_or_a_slow_core_limits_what_a_vm_can_pass_on(
+    megabits, cores, expected
+):
+    assert compute_relay_class(megabits, cores) == expected
+
+
+def test_the_vm_that_can_pass_on_most_leads(clock):
+    """Guards against followers that all wait for a link of 5 Mbit/s (CONFIG)."""
+    members = [make_member(f"10.0.0.{n}:7000", "dc-0", "region-0") for n in range(5)]
+    for rank, member in enumerate(sorted(members, key=lambda m: hash_text(m.address))):
+        member.relay_class = rank // 2
+    selector = SourceSelector(clock, "", "dc-0", "region-0")
+    best = max(members, key=lambda member: member.relay_class)
+    assert selector.list_leaders(members) == [best.address]
+    assert selector.list_candidates(members)[0] == best.address
+    assert SourceSelector(clock, best.address, "dc-0", "region-0").is_leader(members)
+
+
 def test_an_answer_is_compressed_once_for_all_with_the_same_base():
     """All followers ask at the same moment, some of them with another base."""
     builder = FeedAnswerBuilder()
