--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -157,8 +157,9 @@
             self.failure_detail = f"more than {self._max_body_bytes} bytes in the body"
             return -1
         self.body += data
-        if self._on_data is not None:
-            self._on_data(len(self.body))
+        if self._on_data is not None and self._on_data(len(self.body)) is False:
+            self.failure_detail = "the rest is not needed"
+            return -1
         return None
 
 
@@ -191,10 +192,11 @@
             timeout: Seconds within which the response must begin; by default the
                 timeout of the client.
             on_data: Function called after each part of the body with the number of
-                bytes so far, or None.
+                bytes so far, or None. If it returns False, the transfer ends.
 
         Raises:
-            StoreError: The transfer failed or timed out, or the response is too large.
+            StoreError: The transfer failed, timed out or was ended, or the response is
+                too large.
         """
         if not hasattr(self._local, "handle"):
             self._local.handle = pycurl.Curl()
--- a/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedfollower.py
@@ -14,6 +14,7 @@
     PATCH_PROTOCOL,
     PagePending,
     PeerSource,
+    ReadCancelled,
 )
 
 # Wait of a poll to a node that is receiving changes.
@@ -125,6 +126,9 @@
             return False
         try:
             has_changed = self._read(address)
+        except ReadCancelled as error:
+            self._log.info("read cancelled", table=self._table.name, reason=str(error))
+            return False
         except StoreError as error:
             if isinstance(error, PagePending) and self._may_wait_for_page():
                 return False
@@ -180,6 +184,18 @@
         """Return whether this node follows the store for its data centre."""
         return self._selector.is_leader(self._list_reachable_members())
 
+    def find_helper(self):
+        """Return a node that may have what this one is reading from the store, or None.
+
+        That is the nearest leader for a node without content, and the best leader of
+        another region for others: the store may be nearer to it.
+        """
+        members = self._list_reachable_members()
+        if self.replica.version >= 0:
+            return self._selector.find_remote_leader(members)
+        leaders = self._selector.list_leaders(members)
+        return next((item for item in leaders if item != self._own_address), None)
+
     def is_near(self, address):
         """Return whether a node is in this node's region, or not known."""
         view = self._member_table.get_view(address)
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -1,6 +1,7 @@
 """The sources from which a node reads the changes of the store's tables."""
 
 import abc
+import collections
 
 from godwitrack.controlmessages import (
     FeedAnswer,
@@ -21,6 +22,9 @@
 MAX_PAUSE_SECONDS = 1.0
 # Time for an answer of another node that goes on arriving.
 MAX_ANSWER_SECONDS = 10.0
+# Delay of answers from which on a store is in another region.
+FAR_SECONDS = 0.02
+KEPT_DELAYS = 20
 # Builds from this one on understand patches.
 PATCH_PROTOCOL = 1
 
@@ -29,6 +33,10 @@
     """The source is receiving a page with changes, which it does not have yet."""
 
 
+class ReadCancelled(StoreError):
+    """The rest of a page was not read, as its changes came from another source."""
+
+
 class FeedSource(abc.ABC):
     """One source of the changes of a table.
 
@@ -57,7 +65,7 @@
 
     name = "store"
 
-    def __init__(self, clock, store, on_large_page):
+    def __init__(self, clock, store, on_large_page, get_version):
         """Create the source.
 
         Args:
@@ -65,11 +73,15 @@
             store: FeedStore.
             on_large_page: Function called with a FeedTable while a large page of it is
                 arriving.
+            get_version: Function that returns the version up to which this node has
+                all changes of a FeedTable; another source may raise it during a read.
         """
         self._clock = clock
         self._store = store
         self._on_large_page = on_large_page
+        self._get_version = get_version
         self._data_at = {}
+        self._delays = collections.deque(maxlen=KEPT_DELAYS)
 
     def is_receiving(self, table):
         """Return whether a large page of a FeedTable is arriving now."""
@@ -78,6 +90,14 @@
             return False
         return self._clock.read_monotonic() - data_at <= MAX_PAUSE_SECONDS
 
+    @property
+    def is_far(self):
+        """Whether answers take so long on the way that the store is in another region.
+
+        It counts as far before it has answered.
+        """
+        return not self._delays or min(self._delays) > FAR_SECONDS
+
     def end_read(self, table):
         """Note that the last page of a FeedTable is in use, or was given up."""
         self._data_at.pop(table, None)
@@ -95,16 +115,23 @@
 
         Raises:
             HistoryLost: The store lacks changes since `state.after`.
+            ReadCancelled: The changes came from another source meanwhile.
             StoreError: The store gave no usable answer.
         """
-        received_bytes = 0
+        version, received_bytes = self._get_version(table), 0
 
         def record_data(count):
             nonlocal received_bytes
             received_bytes = count
             self._record_data(table, count)
+            return self._get_version(table) == version
 
-        page = self._read(table, state.after, times, record_data)
+        try:
+            page = self._read(table, state.after, times, record_data)
+        except StoreError:
+            if received_bytes and self._get_version(table) != version:
+                raise ReadCancelled(f"ended after {received_bytes} bytes") from None
+            raise
         page.received_bytes = received_bytes
         return page
 
@@ -124,6 +151,7 @@
             # The store answered after the whole wait; the rest was spent on the way.
             elapsed = self._clock.read_monotonic() - started
             page.age = max(elapsed - times.wait, 0.0)
+            self._delays.append(page.age)
         return page
 
 
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -9,8 +9,12 @@
 from godwitrack.patches import MIN_PATCH_BYTES, PatchedRow
 from godwitrack_node.feedanswers import FeedAnswerBuilder
 from godwitrack_node.feedfollower import FeedFollower
-from godwitrack_node.feedfreshness import make_freshness_rules
-from godwitrack_node.feedsources import StoreSource
+from godwitrack_node.feedfreshness import (
+    PEER_MARGIN_SECONDS,
+    ReadTimes,
+    make_freshness_rules,
+)
+from godwitrack_node.feedsources import PagePending, StoreSource
 from godwitrack_node.hintedfetches import HintedFetches
 from godwitrack_node.sourceselector import SourceSelector
 from godwitrack_node.threadpool import run_lasting
@@ -19,6 +23,11 @@
 # the fleet's table at the same time when a data centre starts.
 COALESCE_SECONDS = {FeedTable.OPERATORS: 0.0, FeedTable.FLEET: 0.15}
 MAX_LONG_POLL_MS = 5000
+# Wait of a fetch from a node that is receiving the same page.
+HELP_WAIT_SECONDS = 0.8
+# The read of the store goes on after this time.
+HELP_LEAD_SECONDS = 0.2
+HELP_TIMES = ReadTimes(HELP_WAIT_SECONDS, HELP_WAIT_SECONDS + PEER_MARGIN_SECONDS)
 
 
 class FeedSync(Service):
@@ -39,7 +48,9 @@
             apply_seconds: Seconds within which operators' changes must be in force.
         """
         self._executor = executor
-        self._store_source = StoreSource(clock, store, self._notice_large_page)
+        self._store_source = StoreSource(
+            clock, store, self._notice_large_page, self._get_version
+        )
         rules = make_freshness_rules(apply_seconds)
         place = (own_address, location.data_centre, location.region)
         self._followers = {
@@ -55,6 +66,7 @@
         }
         self._answer_builder = FeedAnswerBuilder()
         self._fetches = HintedFetches(clock, executor)
+        self._help = HintedFetches(clock, executor)
 
     def connect(self, kernel):
         """Find the collaborators."""
@@ -152,7 +164,37 @@
         return page
 
     def _notice_large_page(self, table):
-        self._followers[table].replica.wake_readers()
+        """Tell those that wait for a table, and ask another node for it meanwhile.
+
+        The store sends whole values, and not compressed. Another node may send what
+        differs before all of that has crossed a narrow link, which ends the read. The
+        rest of it leaves the link alone for a moment.
+        """
+        follower = self._followers[table]
+        replica = follower.replica
+        replica.wake_readers()
+        if table is not FeedTable.OPERATORS:
+            return
+        if replica.version >= 0 and not self._store_source.is_far:
+            return
+        address = follower.find_helper()
+        if address is not None:
+            fetch = functools.partial(_fetch_from_helper, follower, address)
+            if self._help.start(address, fetch):
+                replica.read(replica.version, HELP_LEAD_SECONDS)
+
+    def _get_version(self, table):
+        return self._followers[table].replica.version
+
+
+def _fetch_from_helper(follower, address):
+    """Fetch from a node that may have what this one is reading from the store."""
+    is_patch_only = follower.replica.version >= 0
+    try:
+        follower.fetch(address, is_patch_only, HELP_TIMES)
+    except PagePending:
+        # It began to receive the page after the request came. Now it waits for it.
+        follower.fetch(address, is_patch_only, HELP_TIMES)
 
 
 def _read_bases(message):
--- a/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
@@ -35,16 +35,21 @@
         Args:
             address: Address of the node, for the log.
             fetch: Function that fetches the table, and raises StoreError if it fails.
+
+        Returns:
+            Whether it was started.
         """
         if self._clock.read_monotonic() < self._paused_until:
-            return
+            return False
         if not self._running.acquire(blocking=False):
-            return
+            return False
         try:
             self._executor.submit(self._run, address, fetch)
         except RuntimeError:
             # No thread can be started now; the next hint asks again.
             self._running.release()
+            return False
+        return True
 
     def _run(self, address, fetch):
         try:
--- a/tests/test_longlists.py
+++ b/tests/test_longlists.py
@@ -8,13 +8,14 @@
 from fakeplatform import APPLY_SECONDS, Fleet
 from feedparts import make_feed_sync
 from godwitrack.controlmessages import FeedPatchRequest, FeedRequest
-from godwitrack.exceptions import MessageError
+from godwitrack.exceptions import MessageError, StoreError
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack.hashing import hash_text
 from godwitrack.patches import MIN_PATCH_BYTES, make_patch
 from godwitrack_node import membertable
 from godwitrack_node.backoff import Backoff
 from godwitrack_node.feedanswers import FeedAnswerBuilder
+from godwitrack_node.feedsources import LARGE_PAGE_BYTES
 from godwitrack_node.sourceselector import (
     MAX_RELAY_CLASS,
     SourceSelector,
@@ -128,6 +129,22 @@
     assert len(values) == 1
 
 
+def test_a_node_that_joins_gets_a_long_list_from_its_leader(long_list_fleet):
+    """Guards against joining nodes that fill the link from the store (CONFIG)."""
+    leader = min(
+        long_list_fleet.machines[:3],
+        key=lambda machine: hash_text(str(machine.settings.links)),
+    )
+    machine = next(item for item in long_list_fleet.machines if item is not leader)
+    page_bytes = len(str(make_long_list(4, 1))) * 4 // 3
+    long_list_fleet.store.bytes_per_second = page_bytes / 6
+    machine.kill()
+    started_at = time.monotonic()
+    machine.start()
+    wait_for(lambda: machine.find("configurations").is_ready)
+    assert time.monotonic() - started_at <= 3.0
+
+
 def make_request(table=FeedTable.OPERATORS, after=VERSION, content=VERSION, bases=()):
     values = (int(table), after, 0, OWN, content, [list(base) for base in bases], True)
     return FeedPatchRequest(*values)
@@ -208,6 +225,42 @@
     assert replica.version == max(position, 9)
 
 
+class NarrowStore:
+    """A store whose page is arriving; `meanwhile` runs after its first part."""
+
+    def __init__(self, meanwhile):
+        self._meanwhile = meanwhile
+        self.is_read_whole = False
+
+    def read_changes(self, table, after, wait, timeout, on_data):
+        on_data(LARGE_PAGE_BYTES)
+        self._meanwhile()
+        if on_data(2 * LARGE_PAGE_BYTES) is False:
+            raise StoreError("the rest is not needed")
+        self.is_read_whole = True
+        return FeedPage([FeedRow("config", VERSION + 1, b"new")], VERSION + 1, False)
+
+
+@pytest.mark.parametrize("is_helped", [True, False])
+def test_a_read_of_the_store_ends_when_another_node_has_sent_the_change(
+    clock, is_helped
+):
+    """Guards against whole lists that cross the link between regions (CONFIG)."""
+
+    def receive_change():
+        if is_helped:
+            rows = [FeedRow("config", VERSION + 1, b"new")]
+            replica.merge(FeedPage(rows, VERSION + 1, False))
+
+    store = NarrowStore(receive_change)
+    feed_sync, replica = make_feed_sync(clock, LEADER, [LEADER, OWN], store)
+    follower = feed_sync.get_follower(FeedTable.OPERATORS)
+    follower.follow_once(Backoff(random.Random(1)))
+    assert store.is_read_whole is not is_helped
+    assert replica.find("config").value == b"new"
+    assert not follower.is_skipped("")
+
+
 @pytest.mark.parametrize(
     ("megabits", "cores", "expected"),
     [
