--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -13,9 +13,11 @@
 )
 from godwitrack.load import Load
 from godwitrack.message import check_headers
+from godwitrack_node.attempterrors import NoTimeToConnect, RefusedByNode, SilentNode
 from godwitrack_node.heldanswer import HeldAnswer
 from godwitrack_node.ledger import OutcomeState
-from godwitrack_node.pacing import REGIONAL_FIRST_BYTES, PartSender
+from godwitrack_node.pacing import PartSender
+from godwitrack_node.remainingbody import RemainingBody
 
 QUERY_TIMEOUT_SECONDS = 1.0
 # Pauses between outcome queries about a call whose link failed; they double up to MAX.
@@ -57,7 +59,12 @@
 
 
 class RemoteAttempt(Attempt):
-    """An attempt over a link; it queries the outcome if the link is silent or fails."""
+    """An attempt over a link; it queries the outcome if the link is silent or fails.
+
+    An attempt that ends with SilentNode keeps its link until it is resumed or closed:
+    the request may be at work there, and may have to stay so if no other node can
+    answer it.
+    """
 
     def __init__(
         self,
@@ -105,16 +112,45 @@
         self._silence_timeout = silence_timeout
         self._on_load = on_load
         self._pacer = pacer
+        self._call = None
+        self._sink = None
+        self._deadline = 0.0
+        self._link = None
+        self._body = None
+        self._sender = None
 
     def run(self, call, source, sink):
-        """Run the call over a link."""
+        """Run the call over a link.
+
+        Raises:
+            SilentNode: The node is silent, and another attempt could follow.
+        """
+        self._call, self._sink = call, sink
         remaining = call.deadline_ms / 1000.0 + self._grace
-        deadline = self._clock.read_monotonic() + remaining
-        link = self._connect(call)
-        body = _RemainingBody(call, source)
-        is_complete = False
+        self._deadline = self._clock.read_monotonic() + remaining
+        self._link = self._connect(call)
+        self._body = RemainingBody(call, source)
+        return self._complete(self._exchange)
+
+    def resume(self):
+        """Wait on for the answer after SilentNode, as no other attempt can follow.
+
+        Returns:
+            As `run`, and so are the errors.
+        """
+        self._can_retry = _always_false
+        return self._complete(self._await_answer)
+
+    def close(self):
+        """End the attempt after SilentNode, as another one brought the answer."""
+        self._link.abort()
+
+    def _complete(self, receive):
+        """Write the answer that `receive` returns the first message of to the sink."""
+        link, sink, deadline = self._link, self._sink, self._deadline
+        is_complete = is_kept = False
         try:
-            message = self._exchange(link, call, body, deadline)
+            message = receive()
             if type(message) is Outcome:
                 sink.start(
                     message.status,
@@ -127,6 +163,9 @@
             load = self._relay(link, message, sink, deadline)
             is_complete = True
             return load
+        except SilentNode:
+            is_kept = True
+            raise
         except RequestError as error:
             is_complete = error.kind is ErrorKind.BACKEND_FAILED or (
                 error.kind is not ErrorKind.OUTCOME_UNKNOWN
@@ -135,9 +174,9 @@
             )
             raise
         finally:
-            if is_complete and body.is_settled:
+            if is_complete and self._body.is_settled:
                 self._pool.release(link)
-            else:
+            elif not is_kept:
                 link.abort()
 
     def _connect(self, call):
@@ -151,28 +190,39 @@
         except LinkError as error:
             raise RequestError(ErrorKind.BACKEND_UNREACHABLE, str(error)) from None
 
-    def _exchange(self, link, call, body, deadline):
+    def _exchange(self):
         """Send the call and return the first message of its answer."""
         try:
             if self._pacer is not None:
-                body.shorten_first_part()
-            link.send(call, self._compute_remaining(deadline))
-            message = self._receive(link, call, deadline)
-            if type(message) is Proceed:
-                message = self._send_remaining_body(link, call, body, deadline)
+                self._body.shorten_first_part()
+            self._link.send(self._call, self._compute_remaining(self._deadline))
+        except (LinkError, MessageError):
+            return self._resolve_outcome(self._call, self._deadline)
+        return self._await_answer()
+
+    def _await_answer(self):
+        """Return the first message of the answer, for which the body may be needed."""
+        try:
+            message = None
+            if self._sender is None:
+                message = self._receive()
+                if type(message) is Proceed:
+                    message = self._send_remaining_body()
+            while message is None:
+                message = self._sender.handle_message(self._receive())
             return message
         except (LinkError, MessageError):
-            return self._resolve_outcome(call, deadline)
+            return self._resolve_outcome(self._call, self._deadline)
 
-    def _receive(self, link, call, deadline):
+    def _receive(self):
         """Return the next message; query the node whenever the link is silent."""
-        wait = self._silence_timeout
+        wait, call = self._silence_timeout, self._call
         while True:
-            remaining = self._compute_remaining(deadline)
+            remaining = self._compute_remaining(self._deadline)
             try:
-                return link.receive(min(wait, remaining), self._watch)
+                return self._link.receive(min(wait, remaining), self._watch)
             except LinkTimeout:
-                remaining = self._compute_remaining(deadline)
+                remaining = self._compute_remaining(self._deadline)
                 outcome = self._query_outcome(
                     call, min(remaining, self._compute_query_timeout(call))
                 )
@@ -181,8 +231,8 @@
             ):
                 return self._interpret_outcome(outcome)
             if outcome is None and call.idempotent and self._can_retry():
-                raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the node is silent")
-            if self._compute_remaining(deadline) <= 0:
+                raise SilentNode(self)
+            if self._compute_remaining(self._deadline) <= 0:
                 raise self._make_timeout_error(outcome)
             wait *= 2
 
@@ -268,18 +318,15 @@
             return RequestError(ErrorKind.TIMEOUT)
         return RequestError(ErrorKind.OUTCOME_UNKNOWN)
 
-    def _send_remaining_body(self, link, call, body, deadline):
-        """Send the remaining body and return the first message of the answer."""
-        sender = PartSender(link, self._clock, self._pacer)
+    def _send_remaining_body(self):
+        """Send the remaining body; returns a message that ended it early, or None."""
+        self._sender = PartSender(self._link, self._clock, self._pacer)
         try:
-            message = body.send(sender, deadline)
+            return self._body.send(self._sender, self._deadline)
         except (CallerDisconnected, RequestError):
             # The abort keeps the other node from treating a truncated body as complete.
-            link.abort()
+            self._link.abort()
             raise
-        while message is None:
-            message = sender.handle_message(self._receive(link, call, deadline))
-        return message
 
     def _relay(self, link, message, sink, deadline):
         """Write an answer to the sink and return the Load in it."""
@@ -327,65 +374,9 @@
         return max(deadline - self._clock.read_monotonic(), 0.0)
 
 
-class _RemainingBody:
-    """The part of a request's body that is sent after the call message."""
-
-    def __init__(self, call, source):
-        self._call = call
-        self._source = source
-        self._has_more = call.more
-        self._deferred = b""
-        self._sender = None
-
-    @property
-    def is_settled(self):
-        """Whether no message about the body can still come or is still expected."""
-        return self._sender is None or self._sender.is_complete
-
-    def shorten_first_part(self):
-        """Shorten the part in the call to REGIONAL_FIRST_BYTES and defer the rest."""
-        call = self._call
-        if len(call.body) > REGIONAL_FIRST_BYTES:
-            self._deferred = call.body[REGIONAL_FIRST_BYTES:]
-            call.body = call.body[:REGIONAL_FIRST_BYTES]
-            call.more = True
-
-    def send(self, sender, deadline):
-        """Send the remaining body; returns a message that ended it early, or None."""
-        self._sender = sender
-        if self._deferred:
-            message = sender.send(self._deferred, self._has_more, deadline)
-            if message is not None:
-                return message
-        while self._has_more:
-            part = self._source.read()
-            self._has_more = bool(part)
-            message = sender.send(part, self._has_more, deadline)
-            if message is not None:
-                return message
-        return None
-
-
-class RefusedByNode(RequestError):
-    """An error that the other node itself reported; the link stays usable."""
-
-    def __init__(self, message):
-        try:
-            kind = ErrorKind(message.kind)
-        except ValueError:
-            kind = ErrorKind.OUTCOME_UNKNOWN
-        super().__init__(kind, message.detail)
-
-
-class NoTimeToConnect(RequestError):
-    """The request's remaining time was shorter than the connect timeout of a link.
-
-    Nothing was sent, and the other node may be reachable.
-    """
-
-    def __init__(self, detail):
-        super().__init__(ErrorKind.BACKEND_UNREACHABLE, detail)
-
-
 def _always_true():
     return True
+
+
+def _always_false():
+    return False
--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -4,6 +4,7 @@
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.numbers import parse_whole_number
 from godwitrack_node.attempt import LocalAttempt, RemoteAttempt
+from godwitrack_node.attempterrors import SilentNode
 from godwitrack_node.bodystreams import CallerSink, CallerSource, read_first_part
 from godwitrack_node.callhandler import CallHandler
 from godwitrack_node.context import (
@@ -18,6 +19,7 @@
     RetryBudget,
     RetryRule,
 )
+from godwitrack_node.silentattempts import SilentAttempts
 
 DROP_HEADERS = HOP_HEADERS | {
     "authorization",
@@ -160,6 +162,23 @@
 
     def _make_attempts(self, entry_request, request, source, sink, body, more):
         """Make attempts until one gets an answer or no further one is allowed."""
+        silent = SilentAttempts()
+        try:
+            self._try_servers(entry_request, request, source, sink, body, more, silent)
+        except RequestError as error:
+            # Where the request may still be at work, its answer is better than none.
+            if sink.is_started or not silent.has_any:
+                raise
+            self._record_load(*silent.resume(error, sink))
+        finally:
+            silent.close()
+
+    def _try_servers(self, entry_request, request, source, sink, body, more, silent):
+        """Try one server after the other, and add attempts at silent ones to `silent`.
+
+        Raises:
+            RequestError: No attempt got an answer, and no further one is allowed.
+        """
         tried = set()
         uncertain_error = None
         previous_error = None
@@ -177,6 +196,8 @@
                 # The traceback would keep this frame, and so the body, until the
                 # garbage collector runs.
                 error.with_traceback(None)
+                if isinstance(error, SilentNode):
+                    silent.add(view, error.attempt)
                 if not error.answer.not_run:
                     uncertain_error = uncertain_error or error
                 if self._may_retry_tried_servers(entry_request, error, previous_error):
@@ -228,8 +249,7 @@
             view.record_failure(now - started, now)
         else:
             view.record_answer(now - started, now)
-        if load is not None:
-            self._record_load(view, load)
+        self._record_load(view, load)
 
     def _create_attempt(self, view, call):
         if view.record.name == self._identity.name:
@@ -250,6 +270,8 @@
         return record.region != self._identity.region
 
     def _record_load(self, view, load):
+        if load is None:
+            return
         view.record_load(load, self._clock.read_monotonic())
         if load.revision > self._configurations.current.revision:
             self._configurations.hint(view.record.address)
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -4,12 +4,8 @@
 from godwitrack.callmessages import RoutedCall
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.logs import get_logger
-from godwitrack_node.attempt import (
-    LocalAttempt,
-    NoTimeToConnect,
-    RefusedByNode,
-    RemoteAttempt,
-)
+from godwitrack_node.attempt import LocalAttempt, RemoteAttempt
+from godwitrack_node.attempterrors import NoTimeToConnect, RefusedByNode, SilentNode
 from godwitrack_node.bodystreams import CallerSink, CallerSource, read_first_part
 from godwitrack_node.callhandler import CallHandler
 from godwitrack_node.hostedadmissionrequest import LATE_SHARE
@@ -154,6 +150,23 @@
 
     def _make_attempts(self, entry_request, request, source, sink, body, more):
         """Make attempts until one gets an answer or no further one is allowed."""
+        silent = entry_request.silent_attempts
+        try:
+            self._try_members(entry_request, request, source, sink, body, more)
+        except RequestError as error:
+            # Where the request may still be at work, its answer is better than none.
+            if sink.is_started or not silent.has_any:
+                raise
+            self._record_load(*silent.resume(error, sink))
+        finally:
+            silent.close()
+
+    def _try_members(self, entry_request, request, source, sink, body, more):
+        """Try one member after the other.
+
+        Raises:
+            RequestError: No attempt got an answer, and no further one is allowed.
+        """
         tried = set()
         uncertain_error = None
         while True:
@@ -174,6 +187,8 @@
                 if error.kind is ErrorKind.SERVER_SLOW:
                     entry_request.slow_members[entry_request.server] = view.member
                 self._log_attempt(entry_request, error)
+                if isinstance(error, SilentNode):
+                    entry_request.silent_attempts.add(view, error.attempt)
                 source.check_sender()
                 if not error.answer.not_run:
                     # The traceback would keep this frame, and so the body, until the
@@ -240,8 +255,7 @@
         now = self._clock.read_monotonic()
         if sink.status >= 500:
             view.record_failure(now)
-        if load is not None:
-            self._record_load(view, load)
+        self._record_load(view, load)
 
     def _create_attempt(self, entry_request, view, call, source, tried):
         if view.member.address == self._own_address:
@@ -290,6 +304,8 @@
         return view.member.address == self._own_address
 
     def _record_load(self, view, load):
+        if load is None:
+            return
         view.record_load(load, self._clock.read_monotonic())
         self._feed_sync.hint(view.member.address, load.revision)
 
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentryrequest.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentryrequest.py
@@ -1,5 +1,7 @@
 """State of one request at the entry of a hosted node."""
 
+from godwitrack_node.silentattempts import SilentAttempts
+
 
 class HostedEntryRequest:
     """State of one request from its arrival until its answer.
@@ -22,6 +24,7 @@
         service: Name of the service that runs it, or "".
         retry_rule: HostedRetryRule, or None.
         slow_members: Members by address that refused it because they were slow.
+        silent_attempts: SilentAttempts.
         server: Address of the member tried last, or "".
         load_age_ms: Age of that member's load report when it was chosen, or None.
         status: HTTP status sent to the caller, or 0.
@@ -47,6 +50,7 @@
         "route",
         "server",
         "service",
+        "silent_attempts",
         "slow_members",
         "status",
         "target",
@@ -71,6 +75,7 @@
         self.service = ""
         self.retry_rule = None
         self.slow_members = {}
+        self.silent_attempts = SilentAttempts()
         self.server = ""
         self.load_age_ms = None
         self.status = 0
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -5,7 +5,8 @@
 from godwitrack.callmessages import Answer, RoutedCall
 from godwitrack.exceptions import ErrorKind, LinkError, LinkTimeout, RequestError
 from godwitrack.load import Load
-from godwitrack_node.attempt import NoTimeToConnect, RemoteAttempt
+from godwitrack_node.attempt import RemoteAttempt
+from godwitrack_node.attempterrors import NoTimeToConnect, SilentNode
 from godwitrack_node.silencetimeout import compute_silence_timeout
 
 SILENCE_SECONDS = 0.2
@@ -94,10 +95,8 @@
         self.is_started, self.status = True, status
 
 
-def run_attempt(clock, answer_seconds, can_retry):
-    link = DelayedLink(clock, answer_seconds)
-    pool = SilentPool(clock, link)
-    attempt = RemoteAttempt(
+def make_attempt(clock, pool, can_retry):
+    return RemoteAttempt(
         clock,
         pool,
         "10.0.0.1:7620",
@@ -106,11 +105,31 @@
         query_timeout=SILENCE_SECONDS,
         can_retry=can_retry,
     )
+
+
+def run_attempt(clock, answer_seconds, can_retry):
+    pool = SilentPool(clock, DelayedLink(clock, answer_seconds))
     sink = Sink()
-    attempt.run(make_call(), None, sink)
+    make_attempt(clock, pool, can_retry).run(make_call(), None, sink)
     return sink.status
 
 
+@pytest.mark.parametrize("is_resumed", [True, False])
+def test_an_attempt_at_a_silent_node_is_resumed_or_closed(clock, is_resumed):
+    """Guards against a call that is cut off before another one is answered (LOST)."""
+    link = DelayedLink(clock, BUSY_SECONDS)
+    pool, sink = SilentPool(clock, link), Sink()
+    with pytest.raises(SilentNode) as caught:
+        make_attempt(clock, pool, lambda: True).run(make_call(), None, sink)
+    assert not link.is_aborted
+    if is_resumed:
+        caught.value.attempt.resume()
+    else:
+        caught.value.attempt.close()
+    assert (sink.status, link.is_aborted) == ((200, False) if is_resumed else (0, True))
+    assert pool.is_released is is_resumed
+
+
 def test_silent_node_is_awaited_if_no_retry_is_possible(clock):
     """Guards against giving up a call that its server still works on (LOST)."""
     assert run_attempt(clock, BUSY_SECONDS, lambda: False) == 200
--- a/tests/test_linkexchanges.py
+++ b/tests/test_linkexchanges.py
@@ -12,7 +12,8 @@
 from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
 from godwitrack.link import Authenticator
 from godwitrack.load import Load
-from godwitrack_node.attempt import RefusedByNode, RemoteAttempt
+from godwitrack_node.attempt import RemoteAttempt
+from godwitrack_node.attempterrors import RefusedByNode
 from godwitrack_node.controlbudget import ControlBudget
 from godwitrack_node.ledger import OutcomeState
 from godwitrack_node.linkpool import LinkPool
