--- a/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/cmdline.py
@@ -32,6 +32,7 @@
     "method": ("string", "GET", "HTTP method."),
     "path": ("string", "/", "Path within the service."),
     "request": ("string", None, "Id of the request."),
+    "revision": ("integer", None, "Revision of the routes."),
     "logs": ("string", None, "Log files, by commas; standard input by default."),
 }
 COMMON_FLAGS = ("node", "token_file", "json")
@@ -82,6 +83,9 @@
     "explain-request": Command(
         "explain_request", ("request", "logs"), ("request",), needs_node=False
     ),
+    "explain-change": Command(
+        "explain_change", ("revision", "logs"), ("revision",), needs_node=False
+    ),
 }
 
 
--- a/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
+++ b/packages/godwitrack_ctl/src/godwitrack_ctl/commands.py
@@ -10,6 +10,12 @@
 from godwitrack.configuration import find_differences
 from godwitrack.exceptions import GodwitrackError, SettingsError, StoreError
 from godwitrack.plans import read_lists
+from godwitrack_ctl.changetrace import (
+    COLUMNS,
+    make_rows,
+    read_change,
+    summarize_change,
+)
 from godwitrack_ctl.client import NodeRefused
 from godwitrack_ctl.printing import format_differences, format_table
 from godwitrack_ctl.requesttrace import explain_end, read_trace
@@ -62,6 +68,18 @@
         self.write(verdict)
         return EXIT_DONE
 
+    def explain_change(self):
+        """Show how a revision of the routes reached the nodes, from their logs."""
+        revision = self.values.revision
+        changes = read_change(_read_log_lines(self.values.logs), revision)
+        verdict, rows = summarize_change(changes, revision), make_rows(changes)
+        if self.values.json:
+            nodes = [dict(zip(COLUMNS, row, strict=True)) for row in rows]
+            return self._write_json({"nodes": nodes, "verdict": verdict})
+        self.write(format_table(COLUMNS, rows))
+        self.write(verdict)
+        return EXIT_DONE
+
     def check_plans(self):
         """Check the two lists in files; nothing is changed."""
         records = self._read_lists()
--- a/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/requestcounts.py
@@ -154,9 +154,7 @@
         guard = self._kernel.find("guard")
         routes = self._kernel.find("configurations")
         registration = self._kernel.find("registration")
-        operators_replica = self._kernel.find("membership").get_replica(
-            FeedTable.OPERATORS
-        )
+        follower = self._kernel.find("membership").get_follower(FeedTable.OPERATORS)
         return {
             "in_flight": guard.admission.in_flight,
             "queued": guard.admission.queued,
@@ -165,8 +163,10 @@
             "held_answer_bytes": guard.held_answer_bytes,
             "ledger_entries": len(guard.ledger),
             "revision": routes.table.revision if routes.is_ready else 0,
-            "routes_age_ms": operators_replica.age_ms,
-            "routes_era": get_era(operators_replica.version),
+            "routes_age_ms": follower.replica.age_ms,
+            "routes_era": get_era(follower.replica.version),
+            "patches_applied": follower.patch_count,
+            "patches_refused": follower.refused_patch_count,
             "members": len(self._kernel.find("member-table").list_members()),
             "links_opened": self._kernel.find("link-pool").opened,
             "serving": int(registration.is_serving),
