--- a/packages/godwitrack_node/src/godwitrack_node/entry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/entry.py
@@ -163,15 +163,8 @@
     def _make_attempts(self, entry_request, request, source, sink, body, more):
         """Make attempts until one gets an answer or no further one is allowed."""
         silent = SilentAttempts()
-        try:
-            self._try_servers(entry_request, request, source, sink, body, more, silent)
-        except RequestError as error:
-            # Where the request may still be at work, its answer is better than none.
-            if sink.is_started or not silent.has_any:
-                raise
-            self._record_load(*silent.resume(error, sink))
-        finally:
-            silent.close()
+        arguments = (entry_request, request, source, sink, body, more, silent)
+        silent.run(lambda: self._try_servers(*arguments), sink, self._record_load)
 
     def _try_servers(self, entry_request, request, source, sink, body, more, silent):
         """Try one server after the other, and add attempts at silent ones to `silent`.
--- a/packages/godwitrack_node/src/godwitrack_node/guard.py
+++ b/packages/godwitrack_node/src/godwitrack_node/guard.py
@@ -16,7 +16,6 @@
 from godwitrack_node.admissionrequest import AdmissionRequest
 from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.backend import BackendClient, TimedRequest
-from godwitrack_node.bodystreams import PartCollector
 from godwitrack_node.context import (
     CONTEXT_HEADER,
     DEADLINE_HEADER,
@@ -26,6 +25,7 @@
 )
 from godwitrack_node.httpserver import HOP_HEADERS
 from godwitrack_node.ledger import OutcomeState
+from godwitrack_node.partcollector import PartCollector
 from godwitrack_node.serverguard import ServerGuard
 
 DROPPED_ANSWER_HEADERS = HOP_HEADERS | {NOT_RUN_HEADER.lower()}
--- a/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
+++ b/packages/godwitrack_node/src/godwitrack_node/hostedentry.py
@@ -150,16 +150,11 @@
 
     def _make_attempts(self, entry_request, request, source, sink, body, more):
         """Make attempts until one gets an answer or no further one is allowed."""
-        silent = entry_request.silent_attempts
-        try:
-            self._try_members(entry_request, request, source, sink, body, more)
-        except RequestError as error:
-            # Where the request may still be at work, its answer is better than none.
-            if sink.is_started or not silent.has_any:
-                raise
-            self._record_load(*silent.resume(error, sink))
-        finally:
-            silent.close()
+        entry_request.silent_attempts.run(
+            lambda: self._try_members(entry_request, request, source, sink, body, more),
+            sink,
+            self._record_load,
+        )
 
     def _try_members(self, entry_request, request, source, sink, body, more):
         """Try one member after the other.
--- a/packages/godwitrack_node/src/godwitrack_node/silentattempts.py
+++ b/packages/godwitrack_node/src/godwitrack_node/silentattempts.py
@@ -18,16 +18,36 @@
         self._view = None
         self._attempt = None
 
-    @property
-    def has_any(self):
-        """Whether there is an attempt to resume."""
-        return self._attempt is not None
+    def run(self, make_attempts, sink, record_load):
+        """Make attempts, and resume the one that is kept if they bring no answer.
+
+        Where the request may still be at work, its answer is better than none.
+
+        Args:
+            make_attempts: Function that makes attempts until one gets an answer, and
+                raises RequestError if no further one is allowed.
+            sink: CallerSink of the request.
+            record_load: Function called with the view and the Load of the server that
+                answered in the end; the Load is None if it is not known.
+
+        Raises:
+            RequestError: There is no answer, or the sink got only a part of one.
+            CallerDisconnected: The caller disconnected.
+        """
+        try:
+            make_attempts()
+        except RequestError as error:
+            if sink.is_started or self._attempt is None:
+                raise
+            record_load(*self._resume(error, sink))
+        finally:
+            self._close()
 
     def add(self, view, attempt):
         """Add an attempt.
 
         Args:
-            view: MemberView of the member that was tried.
+            view: View of the server that was tried.
             attempt: RemoteAttempt that ended with SilentNode.
         """
         if self._attempt is not None:
@@ -35,21 +55,7 @@
             return
         self._view, self._attempt = view, attempt
 
-    def resume(self, error, sink):
-        """Wait for the answer of the attempt that is kept.
-
-        Args:
-            error: RequestError that the attempts ended with.
-            sink: CallerSink of the request.
-
-        Returns:
-            The MemberView and the Load of the server, or None if that is not known.
-
-        Raises:
-            RequestError: `error`, as there is no answer, or another one after the sink
-                got a part of one.
-            CallerDisconnected: The caller disconnected.
-        """
+    def _resume(self, error, sink):
         view, attempt = self._view, self._attempt
         self._view = self._attempt = None
         try:
@@ -58,8 +64,7 @@
             # That this attempt did not run says nothing of the others.
             raise (late_error if sink.is_started else error) from None
 
-    def close(self):
-        """End the attempt that is kept, if any."""
+    def _close(self):
         if self._attempt is not None:
             self._attempt.close()
             self._attempt = None
--- a/tests/feedparts.py
+++ b/tests/feedparts.py
@@ -38,6 +38,24 @@
         return self._views[address]
 
 
+class FakePool:
+    """A pool of links to one node, and its only link; `receive` is the test's own."""
+
+    received_bytes = 0
+
+    def acquire(self, address, timeout):
+        return self
+
+    def release(self, link):
+        pass
+
+    def abort(self):
+        pass
+
+    def send(self, request, timeout):
+        pass
+
+
 class FakeKernel:
     """Finds the services that a FeedSync uses."""
 
--- a/tests/test_feedfreshness.py
+++ b/tests/test_feedfreshness.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from feedparts import APPLY_SECONDS, make_feed_sync
+from feedparts import APPLY_SECONDS, FakePool, make_feed_sync
 from godwitrack.controlmessages import FeedAnswer
 from godwitrack.exceptions import LinkTimeout, StoreError
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
@@ -21,27 +21,13 @@
 OLD_VERSION, NEW_VERSION = 5, 6
 
 
-class FakePeer:
+class FakePeer(FakePool):
     """A pool of links to one node, which answers at once with a page of one age."""
 
-    received_bytes = 0
-
     def __init__(self, version, age):
         self._version = version
         self._age = age
 
-    def acquire(self, address, timeout):
-        return self
-
-    def release(self, link):
-        pass
-
-    def abort(self):
-        pass
-
-    def send(self, request, timeout):
-        pass
-
     def receive(self, timeout):
         return FeedAnswer(
             int(FeedTable.OPERATORS),
--- a/tests/test_largepages.py
+++ b/tests/test_largepages.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fakeplatform import APPLY_SECONDS, Fleet
-from feedparts import make_feed_sync
+from feedparts import FakePool, make_feed_sync
 from godwitrack.clock import SystemClock
 from godwitrack.controlmessages import FeedAnswer, FeedPending, FeedRequest
 from godwitrack.exceptions import StoreError
@@ -215,21 +215,13 @@
     assert type(feed_sync.answer(request, None)) is FeedAnswer
 
 
-class ReceivingLeader:
+class ReceivingLeader(FakePool):
     """A pool of links to a node that is receiving changes all the time."""
 
-    received_bytes = 0
-
     def __init__(self, clock):
         self._clock = clock
         self._wait_ms = 0
 
-    def acquire(self, address, timeout):
-        return self
-
-    def release(self, link):
-        pass
-
     def send(self, request, timeout):
         self._wait_ms = request.wait_ms
 
--- a/tests/test_longlists.py
+++ b/tests/test_longlists.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fakeplatform import APPLY_SECONDS, Fleet
-from feedparts import make_feed_sync
+from feedparts import FakePool, make_feed_sync
 from godwitrack.controlmessages import FeedPatchRequest, FeedRequest
 from godwitrack.exceptions import MessageError, StoreError
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
@@ -190,24 +190,13 @@
     assert feed_sync.answer(request, None).version == (8 if position <= 8 else -1)
 
 
-class RecordingPool:
+class RecordingPool(FakePool):
     """A pool of links to one node, whose answers come from a FeedSync."""
 
-    received_bytes = 0
-
     def __init__(self, feed_sync):
         self._feed_sync = feed_sync
         self.requests = []
 
-    def acquire(self, address, timeout):
-        return self
-
-    def release(self, link):
-        pass
-
-    def abort(self):
-        pass
-
     def send(self, request, timeout):
         self.requests.append(request)
 
