--- a/packages/godwitrack/src/godwitrack/feed.py
+++ b/packages/godwitrack/src/godwitrack/feed.py
@@ -149,8 +149,8 @@
         Args:
             table: FeedTable.
             on_data: Function called after each part of an answer with the number of
-                its bytes so far, or None. If it returns False, the read ends with a
-                StoreError.
+                its bytes so far and the one stated for the whole, 0 if none is, or
+                None. If it returns False, the read ends with a StoreError.
 
         Raises:
             StoreError: No usable answer came.
@@ -166,8 +166,8 @@
             wait: Seconds to wait for a first change.
             timeout: Seconds after which the read has failed if no answer began.
             on_data: Function called after each part of an answer with the number of
-                its bytes so far, or None. If it returns False, the read ends with a
-                StoreError.
+                its bytes so far and the one stated for the whole, 0 if none is, or
+                None. If it returns False, the read ends with a StoreError.
 
         Returns:
             The FeedPage. Its version names the store's present era. In another era than
--- a/packages/godwitrack/src/godwitrack/store.py
+++ b/packages/godwitrack/src/godwitrack/store.py
@@ -8,6 +8,7 @@
 import pycurl
 
 from godwitrack.exceptions import ConflictError, StoreError
+from godwitrack.numbers import parse_whole_number
 from godwitrack.transfer import TransferLimits, TransferRunner
 
 # TCP keepalive detects a dead connection even while no data is sent on it.
@@ -130,6 +131,7 @@
         self._max_body_bytes = max_body_bytes
         self._on_data = on_data
         self._head_bytes = 0
+        self._length = None
         self.body = bytearray()
         self.header_lines = []
         self.failure_detail = ""
@@ -157,11 +159,20 @@
             self.failure_detail = f"more than {self._max_body_bytes} bytes in the body"
             return -1
         self.body += data
-        if self._on_data is not None and self._on_data(len(self.body)) is False:
+        if self._on_data is None:
+            return None
+        if self._on_data(len(self.body), self._read_length()) is False:
             self.failure_detail = "the rest is not needed"
             return -1
         return None
 
+    def _read_length(self):
+        """Return the number of bytes that the head states for the body, or 0."""
+        if self._length is None:
+            response = HttpResponse(0, b"", self.header_lines)
+            self._length = parse_whole_number(response.get("content-length")) or 0
+        return self._length
+
 
 class HttpClient:
     """Sends HTTP requests; each thread reuses its own connections."""
@@ -192,7 +203,8 @@
             timeout: Seconds within which the response must begin; by default the
                 timeout of the client.
             on_data: Function called after each part of the body with the number of
-                bytes so far, or None. If it returns False, the transfer ends.
+                bytes so far and the one stated for the whole, 0 if none is, or None.
+                If it returns False, the transfer ends.
 
         Raises:
             StoreError: The transfer failed, timed out or was ended, or the response is
--- a/packages/godwitrack_node/src/godwitrack_node/feedsources.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsources.py
@@ -71,8 +71,8 @@
         Args:
             clock: Clock.
             store: FeedStore.
-            on_large_page: Function called with a FeedTable while a large page of it is
-                arriving.
+            on_large_page: Function called with a FeedTable as parts of a large page of
+                it arrive, until it returns True.
             get_version: Function that returns the version up to which this node has
                 all changes of a FeedTable; another source may raise it during a read.
         """
@@ -81,6 +81,8 @@
         self._on_large_page = on_large_page
         self._get_version = get_version
         self._data_at = {}
+        # Tables of whose page on its way `on_large_page` need not be called again.
+        self._noticed = set()
         self._delays = collections.deque(maxlen=KEPT_DELAYS)
 
     def is_receiving(self, table):
@@ -101,14 +103,14 @@
     def end_read(self, table):
         """Note that the last page of a FeedTable is in use, or was given up."""
         self._data_at.pop(table, None)
+        self._noticed.discard(table)
 
-    def _record_data(self, table, count):
-        if count < LARGE_PAGE_BYTES:
+    def _record_data(self, table, page_bytes):
+        if page_bytes < LARGE_PAGE_BYTES:
             return
-        is_first = table not in self._data_at
         self._data_at[table] = self._clock.read_monotonic()
-        if is_first:
-            self._on_large_page(table)
+        if table not in self._noticed and self._on_large_page(table):
+            self._noticed.add(table)
 
     def read(self, table, state, times):
         """Return the changes, or the whole table if `state.after` is below 0.
@@ -120,10 +122,10 @@
         """
         version, received_bytes = self._get_version(table), 0
 
-        def record_data(count):
+        def record_data(count, length=0):
             nonlocal received_bytes
             received_bytes = count
-            self._record_data(table, count)
+            self._record_data(table, max(count, length))
             return self._get_version(table) == version
 
         try:
--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -169,19 +169,25 @@
         The store sends whole values, and not compressed. Another node may send what
         differs before all of that has crossed a narrow link, which ends the read. The
         rest of it leaves the link alone for a moment.
+
+        Returns:
+            Whether there is nothing more to do about this page.
         """
         follower = self._followers[table]
         replica = follower.replica
         replica.wake_readers()
         if table is not FeedTable.OPERATORS:
-            return
+            return True
         if replica.version >= 0 and not self._store_source.is_far:
-            return
+            return True
         address = follower.find_helper()
-        if address is not None:
-            fetch = functools.partial(_fetch_from_helper, follower, address)
-            if self._help.start(address, fetch):
-                replica.read(replica.version, HELP_LEAD_SECONDS)
+        if address is None:
+            # The fleet's table, which names the other nodes, may be on its way, too.
+            return False
+        fetch = functools.partial(_fetch_from_helper, follower, address)
+        if self._help.start(address, fetch):
+            replica.read(replica.version, HELP_LEAD_SECONDS)
+        return True
 
     def _get_version(self, table):
         return self._followers[table].replica.version
--- a/tests/test_largepages.py
+++ b/tests/test_largepages.py
@@ -90,6 +90,17 @@
     assert client.fetch("GET", server.url).body == b"x" * PIECES
 
 
+def test_a_reader_learns_the_length_of_a_response_from_its_first_part(make_slow_server):
+    """Guards against a full link before a node asks another one for the change."""
+    server, parts = make_slow_server([0.0] + [0.05] * 3), []
+
+    def record(count, length):
+        parts.append((count, length))
+
+    HttpClient(TIMEOUT_SECONDS).fetch("GET", server.url, on_data=record)
+    assert (parts[0], parts[-1]) == ((1, 4), (4, 4))
+
+
 @pytest.mark.parametrize(
     ("pauses", "seconds"),
     [
@@ -173,7 +184,7 @@
         self._version = version
 
     def read_changes(self, table, after, wait, timeout, on_data):
-        on_data(LARGE_PAGE_BYTES)
+        on_data(1, LARGE_PAGE_BYTES)
         self._check()
         rows = [FeedRow("config", self._version, b"")] if self._version > after else []
         return FeedPage(rows, self._version, False)
