--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,108 +1,67 @@
 """Tests of a node process by its log: explain-request, reloads and stop signals."""
 
-import os
-import pathlib
 import signal
-import subprocess
-import sys
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from fakebackend import FakeBackendServer, send_report
-from fakeplatform import SETTINGS
-from fakestore import FakeStore
-from godwitrack.address import Address
 from godwitrack_ctl.cmdline import main
-from godwitrack_lab.deployment import find_ports
+from nodeprocess import SERVICE, NodeProcess
 from operatorsrows import make_config, make_route, make_service
-from testcaller import ask_ready, make_request_headers, send, wait_for
+from testcaller import make_request_headers, send, wait_for
 
-ROOT = pathlib.Path(__file__).parents[1]
 
+class LoggedNode(NodeProcess):
+    """A node whose backend server runs one request at a time."""
 
-class NodeProcess:
-    """A hosted node that runs in its own process and logs to a file."""
-
-    def __init__(self, folder):
-        self._executor = ThreadPoolExecutor(100)
-        self.store = FakeStore(self._executor)
-        self.app = FakeBackendServer(self._executor, "scenbok", "i-1")
+    def __init__(self):
+        super().__init__()
         self.app.slots = 1
-        ports = find_ports(4)
-        self.callers, self.readiness, self.reports = (
-            Address("127.0.0.1", port) for port in ports[:3]
-        )
-        path = self.settings = folder / "local.toml"
-        path.write_text(
-            SETTINGS.format(
-                name="node-1",
-                ip="127.0.0.1",
-                data_centre="dc-a",
-                region="north",
-                links=ports[3],
-                beat=0.3,
-                server=self.app.address,
-                service="scenbok",
-                extra="",
-                callers=self.callers,
-                readiness=self.readiness,
-                reports=self.reports,
-                slack=64,
-                store=self.store.address,
-            )
-        )
-        self.log = folder / "node.log"
-        with open(self.log, "wb") as output:
-            self._process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "start.py")],
-                stdout=output,
-                env={**os.environ, "GODWITRACK_CONFIG": str(path)},
-            )
+        self.put_routes(4, "write")
+        self.start()
 
     def put_routes(self, version, *names):
         routes = [
-            make_route(name, f"/{name}/", "scenbok", "non_idempotent", sloS=0.4)
+            make_route(name, f"/{name}/", SERVICE, "non_idempotent", sloS=0.4)
             for name in names
         ]
-        service = make_service("scenbok")
+        service = make_service(SERVICE)
         self.store.put("op", "config", make_config(version, *routes, service))
 
     def wait_ready(self):
-        wait_for(lambda: ask_ready(self.readiness))
-        address = str(self.app.address)
-        status = send_report(self.reports, self.app, "dc-a", "ready", address=address)
-        assert status == 200
+        wait_for(self.is_ready)
+        assert self.report() == 200
         wait_for(lambda: self.ask("ready", "/write/1") == 200)
 
     def ask(self, request_id, path):
         headers = make_request_headers(request_id)
-        return send(self.callers, "POST", path, headers=headers).status
+        return send(self.addresses["callers"], "POST", path, headers=headers).status
 
     def signal(self, number):
-        self._process.send_signal(number)
+        self.process.send_signal(number)
 
     def stop(self):
-        self._process.send_signal(signal.SIGTERM)
-        status = self._process.wait(20)
-        self.app.close()
-        self.store.close()
-        self._executor.shutdown(wait=False)
-        return status
+        self.signal(signal.SIGTERM)
+        return self.process.wait(20)
 
 
 @pytest.fixture
-def process(tmp_path):
-    process = NodeProcess(tmp_path)
-    process.put_routes(4, "write")
-    process.wait_ready()
-    yield process
-    assert process.stop() == 0
+def process():
+    process = LoggedNode()
+    try:
+        process.wait_ready()
+        yield process
+        assert process.stop() == 0
+    finally:
+        process.close()
 
 
 def explain(process, capsys, request_id):
-    arguments = ["explain-request", f"--request={request_id}", f"--logs={process.log}"]
+    arguments = [
+        "explain-request",
+        f"--request={request_id}",
+        f"--logs={process.log_path}",
+    ]
     wait_for(lambda: main(arguments) == 0)
     return capsys.readouterr().out
 
@@ -146,7 +105,11 @@
 
 @pytest.mark.parametrize("request_id", ["never", "id"])
 def test_request_missing_from_the_logs_is_an_error(process, capsys, request_id):
-    arguments = ["explain-request", f"--request={request_id}", f"--logs={process.log}"]
+    arguments = [
+        "explain-request",
+        f"--request={request_id}",
+        f"--logs={process.log_path}",
+    ]
     assert main(arguments) == 2
     assert "the logs do not hold" in capsys.readouterr().err
 
@@ -154,16 +117,16 @@
 def test_reload_is_logged_and_interrupts_nothing(process):
     """SIGHUP would end the node if it had no handler."""
     process.signal(signal.SIGHUP)
-    wait_for(lambda: "settings reloaded" in process.log.read_text())
+    wait_for(lambda: "settings reloaded" in process.read_log())
     assert process.ask("after", "/write/1") == 200
 
 
 def test_changed_settings_are_reloaded_without_a_signal(process):
-    text = process.settings.read_text()
-    process.settings.write_text(text.replace("budgetSlack = 64", "budgetSlack = 32"))
-    wait_for(lambda: '"changed": ["retry_limits"]' in process.log.read_text())
-    process.settings.write_text("nothing")
-    wait_for(lambda: "settings not reloaded" in process.log.read_text())
+    path = process.settings_path
+    path.write_text(path.read_text().replace("budgetSlack = 64", "budgetSlack = 32"))
+    wait_for(lambda: '"changed": ["retry_limits"]' in process.read_log())
+    path.write_text("nothing")
+    wait_for(lambda: "settings not reloaded" in process.read_log())
     assert process.ask("after", "/write/1") == 200
 
 
@@ -177,7 +140,7 @@
     thread.start()
     wait_for(lambda: process.app.runs[-1][0] == "late")
     process.signal(signal.SIGTERM)
-    wait_for(lambda: "node stopping" in process.log.read_text())
+    wait_for(lambda: "node stopping" in process.read_log())
     process.signal(signal.SIGTERM)
     thread.join()
     assert statuses == [200]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak: its plan, proxy and checks, and seeds that once failed."""
 
+import os
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -12,6 +13,7 @@
 from soakchecks import SoakRecord, count_peak
 from soakfaults import AppliedFault
 from soakfleet import MACHINE_SPECS
+from soakmachine import LINKS_PORT
 from soakplan import (
     MAX_STOP_DISTANCE_SECONDS,
     OVERLAP_OPERATIONS,
@@ -26,7 +28,8 @@
 from testcaller import Answer
 
 READ, LAMP, NORTH = (CALL_KINDS[index] for index in (0, 1, 3))
-SUBNET = 250
+# Second octets of the loopback addresses; other ranges are those of soaks by hand.
+SUBNETS = range(250, 255)
 SIGNED = {"godwitrack-server-signature": "signed"}
 HELD_SECONDS = 0.2
 # Seeds that once had findings, each with the cause that was fixed.
@@ -363,14 +366,29 @@
     assert count_peak(moments, 1.0) == most
 
 
-def test_a_short_soak_finds_nothing(tmp_path):
+@pytest.fixture
+def subnet():
+    """A subnet that no other run of the tests on this machine uses."""
+    count = len(SUBNETS)
+    for number in (SUBNETS[(os.getpid() + offset) % count] for offset in range(count)):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((f"127.{number}.0.10", LINKS_PORT))
+            except OSError:
+                continue
+        return number
+    raise AssertionError(f"all of 127.{SUBNETS[0]} to 127.{SUBNETS[-1]} are in use")
+
+
+def test_a_short_soak_finds_nothing(tmp_path, subnet):
     """Uses real node processes; `make soak` runs many seeds, and for longer."""
-    result = run_soak(1, tmp_path, SUBNET, SoakOptions(4.0, 6, checks_durations=False))
+    result = run_soak(1, tmp_path, subnet, SoakOptions(4.0, 6, checks_durations=False))
     assert result.findings == []
     assert result.served > 100
 
 
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
-def test_a_seed_that_once_failed_finds_nothing(tmp_path, seed):
-    result = run_soak(seed, tmp_path, SUBNET, SoakOptions(checks_durations=False))
+def test_a_seed_that_once_failed_finds_nothing(tmp_path, subnet, seed):
+    result = run_soak(seed, tmp_path, subnet, SoakOptions(checks_durations=False))
     assert result.findings == []
