Name the fetches of a changed table by how they run

They follow hints, and since the last changes also a large page that is on its way from the store; hintedfetches is serialfetches now. Nothing behaves differently; the tests of feeds, lists and lack of threads pass.

--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -15,7 +15,7 @@
     make_freshness_rules,
 )
 from godwitrack_node.feedsources import PagePending, StoreSource
-from godwitrack_node.hintedfetches import HintedFetches
+from godwitrack_node.serialfetches import SerialFetches
 from godwitrack_node.sourceselector import SourceSelector
 from godwitrack_node.threadpool import run_lasting
 
@@ -65,8 +65,8 @@
             for table in FeedTable
         }
         self._answer_builder = FeedAnswerBuilder()
-        self._fetches = HintedFetches(clock, executor)
-        self._help = HintedFetches(clock, executor)
+        self._fetches = SerialFetches(clock, executor)
+        self._help = SerialFetches(clock, executor)
 
     def connect(self, kernel):
         """Find the collaborators."""
--- a/packages/godwitrack_node/src/godwitrack_node/hintedfetches.py
+++ b/packages/godwitrack_node/src/godwitrack_node/serialfetches.py
@@ -1,7 +1,8 @@
-"""Fetches of the operators' table from nodes that hinted that they have a later one.
+"""Fetches of the operators' table from nodes that may have a later one.
 
-Load pattern: every answer of a node may carry the hint, and a long list of routes fills
-a slow link for a second. There is one fetch at a time, and a pause after a failed one.
+Load pattern: every answer of a node may carry the hint that it has one, and a long
+list of routes fills a slow link for a second. There is one fetch at a time, and a pause
+after a failed one.
 """
 
 import threading
@@ -13,7 +14,7 @@
 PAUSE_SECONDS = 1.0
 
 
-class HintedFetches:
+class SerialFetches:
     """Runs one fetch at a time."""
 
     def __init__(self, clock, executor):
--- a/tests/test_feedsync.py
+++ b/tests/test_feedsync.py
@@ -10,10 +10,10 @@
 from godwitrack.hashing import hash_text
 from godwitrack_node.backoff import Backoff
 from godwitrack_node.feedsync import FeedSync
-from godwitrack_node.hintedfetches import PAUSE_SECONDS
 from godwitrack_node.hostedrouting import Member, MemberView
 from godwitrack_node.routes import OperatorsRowReader, Routes
 from godwitrack_node.routing import Location
+from godwitrack_node.serialfetches import PAUSE_SECONDS
 
 REVISION = 5
 APPLY_SECONDS = 2.5
