--- a/packages/godwitrack_node/src/godwitrack_node/feedsync.py
+++ b/packages/godwitrack_node/src/godwitrack_node/feedsync.py
@@ -1,6 +1,7 @@
 """The feed sync: follows the store's tables, directly or through other nodes."""
 
 import functools
+import threading
 
 from godwitrack.controlmessages import FeedPatchRequest, FeedPending, FeedRequest
 from godwitrack.exceptions import MessageError
@@ -25,7 +26,7 @@
 MAX_LONG_POLL_MS = 5000
 # Wait of a fetch from a node that is receiving the same page.
 HELP_WAIT_SECONDS = 0.8
-# The read of the store goes on after this time.
+# The read of the store goes on after this time at the latest.
 HELP_LEAD_SECONDS = 0.2
 HELP_TIMES = ReadTimes(HELP_WAIT_SECONDS, HELP_WAIT_SECONDS + PEER_MARGIN_SECONDS)
 
@@ -184,23 +185,33 @@
         if address is None:
             # The fleet's table, which names the other nodes, may be on its way, too.
             return False
-        fetch = functools.partial(_fetch_from_helper, follower, address)
-        if self._help.start(address, fetch):
-            replica.read(replica.version, HELP_LEAD_SECONDS)
+        ended = threading.Event()
+        fetch = functools.partial(_fetch_from_helper, follower, address, ended)
+        # A node without content can serve no request, and waits for nothing.
+        if self._help.start(address, fetch) and replica.version >= 0:
+            ended.wait(HELP_LEAD_SECONDS)
         return True
 
     def _get_version(self, table):
         return self._followers[table].replica.version
 
 
-def _fetch_from_helper(follower, address):
-    """Fetch from a node that may have what this one is reading from the store."""
+def _fetch_from_helper(follower, address, ended):
+    """Fetch from a node that may have what this one is reading from the store.
+
+    Args:
+        follower: FeedFollower.
+        address: "host:port" of that node's links.
+        ended: threading.Event to set at the end.
+    """
     is_patch_only = follower.replica.version >= 0
     try:
         follower.fetch(address, is_patch_only, HELP_TIMES)
     except PagePending:
         # It began to receive the page after the request came. Now it waits for it.
         follower.fetch(address, is_patch_only, HELP_TIMES)
+    finally:
+        ended.set()
 
 
 def _read_bases(message):
--- a/tests/feedparts.py
+++ b/tests/feedparts.py
@@ -11,16 +11,17 @@
 
 
 class FakeMembers:
-    """A member table with the nodes at some addresses."""
+    """A member table with the nodes at some addresses, and some in another region."""
 
-    def __init__(self, addresses):
+    def __init__(self, addresses, remote_addresses=()):
+        places = dict.fromkeys(addresses, ("north", "dc-a"))
+        places |= dict.fromkeys(remote_addresses, ("south", "dc-c"))
         self._views = {
             address: MemberView(
                 Member(
                     address,
                     "scenbok",
-                    "north",
-                    "dc-a",
+                    *place,
                     10,
                     True,
                     "i",
@@ -28,7 +29,7 @@
                     protocol=PATCH_PROTOCOL,
                 )
             )
-            for address in addresses
+            for address, place in places.items()
         }
 
     def list_members(self):
@@ -66,11 +67,20 @@
         return self._services[name]
 
 
-def make_feed_sync(clock, own_address, members, store, pool=None, version=5):
+def make_feed_sync(
+    clock,
+    own_address,
+    members,
+    store,
+    pool=None,
+    version=5,
+    executor=None,
+    remote_members=(),
+):
     """Return a FeedSync and its replica of the operators' table at a version."""
     location = Location("north", "dc-a")
-    feed_sync = FeedSync(clock, None, store, own_address, location, APPLY_SECONDS)
-    feed_sync.connect(FakeKernel(pool, FakeMembers(members)))
+    feed_sync = FeedSync(clock, executor, store, own_address, location, APPLY_SECONDS)
+    feed_sync.connect(FakeKernel(pool, FakeMembers(members, remote_members)))
     replica = feed_sync.get_replica(FeedTable.OPERATORS)
     if version >= 0:
         replica.merge(FeedPage([FeedRow("config", version, b"")], version, True))
--- a/tests/test_longlists.py
+++ b/tests/test_longlists.py
@@ -1,14 +1,16 @@
 """Tests of changes of a long list of routes: what they cost, and who sends them."""
 
 import random
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from fakeplatform import APPLY_SECONDS, Fleet
 from feedparts import FakePool, make_feed_sync
 from godwitrack.controlmessages import FeedPatchRequest, FeedRequest
-from godwitrack.exceptions import MessageError, StoreError
+from godwitrack.exceptions import LinkTimeout, MessageError, StoreError
 from godwitrack.feed import FeedPage, FeedRow, FeedTable
 from godwitrack.hashing import hash_text
 from godwitrack.patches import MIN_PATCH_BYTES, make_patch
@@ -16,6 +18,7 @@
 from godwitrack_node.backoff import Backoff
 from godwitrack_node.feedanswers import FeedAnswerBuilder
 from godwitrack_node.feedsources import LARGE_PAGE_BYTES
+from godwitrack_node.feedsync import HELP_LEAD_SECONDS
 from godwitrack_node.sourceselector import (
     MAX_RELAY_CLASS,
     SourceSelector,
@@ -218,6 +221,49 @@
     assert replica.version == max(position, 9)
 
 
+class PartialStore:
+    """A store that notes how long a reader of a large page holds up its first part."""
+
+    def __init__(self):
+        self.held_seconds = None
+
+    def read_all(self, table, on_data):
+        return self.read_changes(table, -1, 0.0, 0.0, on_data)
+
+    def read_changes(self, table, after, wait, timeout, on_data):
+        started_at = time.monotonic()
+        on_data(1, LARGE_PAGE_BYTES)
+        self.held_seconds = time.monotonic() - started_at
+        return FeedPage([FeedRow("config", VERSION + 1, b"new")], VERSION + 1, False)
+
+
+@pytest.mark.parametrize(
+    ("version", "answers_seconds", "is_held"),
+    [(-1, 9.0, False), (VERSION, 9.0, True), (VERSION, 0.0, False)],
+    ids=["no content", "no answer", "a failed fetch"],
+)
+def test_a_read_of_the_store_is_held_up_only_while_another_node_may_help(
+    clock, version, answers_seconds, is_held
+):
+    """Guards against a fleet that starts again 0.2 s later for the help of no one."""
+    ended = threading.Event()
+
+    class HelperPool(FakePool):
+        def receive(self, timeout):
+            ended.wait(answers_seconds)
+            raise LinkTimeout("nothing arrived in time")
+
+    store, leader = PartialStore(), "10.0.0.3:7000"
+    with ThreadPoolExecutor(2) as executor:
+        feed_sync, _ = make_feed_sync(
+            clock, LEADER, [LEADER], store, HelperPool(), version, executor, [leader]
+        )
+        follower = feed_sync.get_follower(FeedTable.OPERATORS)
+        follower.follow_once(Backoff(random.Random(1)))
+        ended.set()
+    assert (store.held_seconds >= HELP_LEAD_SECONDS) is is_held, store.held_seconds
+
+
 class NarrowStore:
     """A store whose page is arriving; `meanwhile` runs after its first part."""
 
