Give the calls of running requests in the soak ids of their own (TWICE, a false finding)

Cause, from that run's logs: the read s8-0-0-86 may run more than once. Its server broke its answer off, and it ran again at another machine. Each run made a call of its own, and as each machine counted its calls for itself, and both stood at 31, two calls had one id. Each ran once (node-0's and node-2's attempt at i-1-0, 4 ms apart). No fault of the nodes.

Change: the id names the machine, too. The check is as it was.

--- a/soak/soakcallers.py
+++ b/soak/soakcallers.py
@@ -113,9 +113,16 @@
         self._calls = calls
         self._counter = itertools.count(1)
 
+    def make_request_id(self, parent_id):
+        """Return the id of the next call, which no other machine's call has.
+
+        A request that runs once more, at another machine, makes calls of its own.
+        """
+        return f"{parent_id}.{self._machine.number}-{next(self._counter)}"
+
     def send(self, parent_id):
         """Call another service while a request with the given id runs."""
-        request_id = f"{parent_id}.{next(self._counter)}"
+        request_id = self.make_request_id(parent_id)
         call = SentCall(request_id, NESTED_KIND, self._machine.number, 0)
         try:
             caller = Caller(self._machine.caller_address)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from godwitrack.address import Address
 from godwitrack_node.connectionserver import ConnectionServer
-from soakcallers import CALL_KINDS, SentCall
+from soakcallers import CALL_KINDS, NestedCaller, SentCall
 from soakchecks import SoakRecord, count_peak
 from soakfaults import AppliedFault
 from soakfleet import MACHINE_SPECS
@@ -366,6 +366,20 @@
     assert count_peak(moments, 1.0) == most
 
 
+class NumberedMachine:
+    """A machine of which only the number matters."""
+
+    def __init__(self, number):
+        self.number = number
+
+
+def test_no_two_calls_of_running_requests_have_the_same_id():
+    """Guards against two runs of a read whose calls look like one that ran twice."""
+    callers = [NestedCaller(NumberedMachine(number), []) for number in range(3)]
+    ids = [caller.make_request_id("s8-0") for caller in callers for _ in range(2)]
+    assert len(set(ids)) == len(ids)
+
+
 @pytest.fixture
 def subnet():
     """A subnet that no other run of the tests on this machine uses."""
