Work out the size of a patch once

Found on reading the change again: each answer to a follower, and each patch that was kept, added up the parts of all patches of the row anew, under the replica's lock. The value is the same.

--- a/packages/godwitrack/src/godwitrack/patches.py
+++ b/packages/godwitrack/src/godwitrack/patches.py
@@ -33,20 +33,17 @@
         result: Digest of the value that it leads to.
         parts: List of what the result consists of, in order: bytes, and pairs of start
             and end that name a range of the base.
+        size: Approximate number of bytes that it takes in a message.
     """
 
-    __slots__ = ("base", "parts", "result")
+    __slots__ = ("base", "parts", "result", "size")
 
     def __init__(self, base, result, parts):
         self.base = base
         self.result = result
         self.parts = parts
-
-    @property
-    def size(self):
-        """Approximate number of bytes that it takes in a message."""
-        return sum(
-            len(part) if type(part) is bytes else RANGE_BYTES for part in self.parts
+        self.size = sum(
+            len(part) if type(part) is bytes else RANGE_BYTES for part in parts
         )
 
     def apply(self, value):
