--- a/packages/godwitrack/src/godwitrack/exceptions.py
+++ b/packages/godwitrack/src/godwitrack/exceptions.py
@@ -157,6 +157,10 @@
     """A frame between nodes could not be decoded."""
 
 
+class HeadError(GodwitrackError):
+    """The head of an HTTP answer is not valid; the text says what is wrong in it."""
+
+
 class LinkError(GodwitrackError):
     """A link between nodes failed or was closed."""
 
--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -2,8 +2,9 @@
 
 import httptools
 
+from godwitrack.answerhead import check_status
 from godwitrack.bytebudget import SMALL_BYTES
-from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack.exceptions import ErrorKind, HeadError, RequestError
 from godwitrack.numbers import parse_whole_number
 from godwitrack_node.answer import HttpAnswer
 from godwitrack_node.heldbody import HeldBody
@@ -125,9 +126,15 @@
             self._length = parse_whole_number(value.strip())
 
     def on_headers_complete(self):
-        """Record the status after the last header; called by the parser."""
+        """Check the status after the last header; called by the parser."""
         self._has_head = True
         self._status = self._parser.get_status_code()
+        try:
+            check_status(self._status)
+        except HeadError as error:
+            # The parser takes any three digits.
+            self._fail(str(error))
+            return
         if self._method == "HEAD" and self._status >= 200:
             self._complete()
         elif self._length and self._length > MIN_HELD_BYTES:
--- a/tests/fakebackend.py
+++ b/tests/fakebackend.py
@@ -30,6 +30,8 @@
         caller_gone: Event, set when a caller disconnects during a request.
         behave: Function that replaces the usual answer, or None; takes a request id,
             a connection and its socket and returns whether the connection stays open.
+        raw_health: Bytes that it sends in place of a health answer, if there are any.
+        answers_early: Whether it answers requests without reading their bodies.
     """
 
     def __init__(self, executor, service, instance, address=LOCAL):
@@ -47,9 +49,14 @@
         self.health_headers = []
         self.caller_gone = threading.Event()
         self.behave = None
+        self.raw_health = b""
+        self.answers_early = False
         super().__init__(executor, address)
 
     def answer(self, request, body, connection, sock):
+        if request.target == "/health" and self.raw_health:
+            sock.sendall(self.raw_health)
+            return False
         if request.target == "/health":
             headers = [
                 ("Godwitrack-Instance-Id", self.instance),
@@ -73,6 +80,12 @@
         self.send_answer(request_id, connection, body)
         return True
 
+    def read_body(self, request, connection):
+        """Return the body of a request, empty if it is not read."""
+        if self.answers_early and request.length:
+            return b""
+        return super().read_body(request, connection)
+
     def record_run(self, request, request_id, body):
         """Record the execution of a request."""
         self.runs.append((request_id, time.monotonic()))
--- a/tests/fakehttp.py
+++ b/tests/fakehttp.py
@@ -25,13 +25,18 @@
         self._server.close()
         self._server.interrupt()
 
+    def read_body(self, request, connection):
+        """Return the body of a request."""
+        body = b""
+        while part := connection.read_body():
+            body += part
+        return body
+
     def _serve(self, sock, remote):
         connection = HttpConnection(sock)
         try:
             while (request := connection.read_request()) is not None:
-                body = b""
-                while part := connection.read_body():
-                    body += part
+                body = self.read_body(request, connection)
                 if not self.answer(request, body, connection, sock):
                     return
         except (CallerDisconnected, RequestError, OSError):
--- /dev/null
+++ b/tests/test_invalidanswers.py
@@ -0,0 +1,114 @@
+"""Tests that an answer which is not valid HTTP is no answer, whoever reads it."""
+
+import pytest
+
+from godwitrack.clock import SystemClock
+from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_node.instance import InstanceClient, InstanceRequest
+from hostedfleet import ask, list_runs
+from rawanswers import (
+    BODY,
+    INVALID_ANSWERS,
+    REPAIRABLE_ANSWERS,
+    VALID_ANSWERS,
+    RawBackend,
+    make_raw_health,
+)
+from testcaller import wait_for
+
+WAIT_SECONDS = 5.0
+
+
+@pytest.fixture
+def server():
+    server = RawBackend()
+    yield server
+    server.close()
+
+
+def read_with_instance_client(server, method):
+    """Return status and body as the guard of a hosted node reads them."""
+    client = InstanceClient(SystemClock(), server.address, 1)
+    request = InstanceRequest(method, "/x", [], b"", 0, None, True)
+    deadline = SystemClock().read_monotonic() + WAIT_SECONDS
+    answer = client.send(request, lambda item, is_first: True, deadline)
+    return answer.status, answer.body
+
+
+READERS = [read_with_instance_client]
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("answer", INVALID_ANSWERS.values(), ids=INVALID_ANSWERS)
+@pytest.mark.parametrize("read", READERS)
+def test_an_invalid_answer_is_no_answer(server, read, answer, method):
+    """Guards against answers of a server in trouble that reach callers (MIXED)."""
+    server.answer = answer
+    with pytest.raises(RequestError) as caught:
+        read(server, method)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("answer", VALID_ANSWERS.values(), ids=VALID_ANSWERS)
+@pytest.mark.parametrize("read", READERS)
+def test_an_unusual_answer_is_read(server, read, answer):
+    server.answer = answer
+    assert read(server, "GET") == (200, BODY)
+
+
+@pytest.mark.parametrize("answer", REPAIRABLE_ANSWERS.values(), ids=REPAIRABLE_ANSWERS)
+def test_what_the_standard_lets_a_recipient_refuse_is_refused(server, answer):
+    server.answer = answer
+    with pytest.raises(RequestError):
+        read_with_instance_client(server, "GET")
+
+
+# One for each rule; the readers' tests have the others.
+FLEET_CASES = [
+    "status 000",
+    "status 099",
+    "status 600",
+    "lower case",
+    "blank in the name",
+    "00 in the value",
+    "coding with a blank before the colon",
+    "blank in the name of a trailer",
+]
+
+
+def send_raw(answer):
+    """Return a behave function of a FakeBackendServer that sends raw bytes."""
+
+    def behave(request_id, connection, sock):
+        sock.sendall(answer)
+        return False
+
+    return behave
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("number", [1, 0], ids=["own node", "another node"])
+@pytest.mark.parametrize("case", FLEET_CASES)
+def test_a_caller_gets_an_error_for_an_invalid_answer(fleet, case, number, method):
+    """Guards against answers of a server in trouble that reach callers (MIXED)."""
+    fleet.machines[1].app.behave = send_raw(INVALID_ANSWERS[case])
+    assert ask(fleet.machines[number], "/lamp/1", method=method).status == 502
+    assert list_runs(fleet, "r1") == ["i-1"]
+
+
+def test_an_invalid_answer_to_a_read_is_replaced_by_that_of_another_server(fleet):
+    fleet.machines[0].app.behave = send_raw(INVALID_ANSWERS["status 000"])
+    found = ask(fleet.machines[0], "/read/1")
+    assert (found.status, found.body) == (200, b"done ")
+    assert list_runs(fleet, "r1") == ["i-0", "i-2"]
+
+
+@pytest.mark.parametrize("first_line", [b"HTTP/1.1 000 OK", b"HTTP/1.1 600 OK"])
+def test_an_invalid_health_answer_says_nothing_of_its_server(fleet, first_line):
+    """Guards against a server that counts as leaving for what it says in trouble."""
+    machine = fleet.machines[1]
+    machine.app.raw_health = make_raw_health(first_line, machine.app.instance)
+    wait_for(lambda: machine.find("registration").is_blocked)
+    machine.app.raw_health = b""
+    wait_for(lambda: not machine.find("registration").is_blocked)
+    assert ask(machine, "/lamp/1").status == 200
