--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -76,7 +76,7 @@
         """Parse bytes from the backend server; bytes without end are an error."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"the answer is not HTTP: {error}")
         self._received_bytes += len(data)
         # A small answer that came at once is popped before it would be counted.
--- a/tests/rawanswers.py
+++ b/tests/rawanswers.py
@@ -86,6 +86,11 @@
     "blank in the name of a trailer": make_chunked_answer(
         b"Transfer-Encoding: chunked", b"X Y: a\r\n"
     ),
+    "switch of the protocol": make_raw_answer(
+        b"HTTP/1.1 101 Switching Protocols",
+        [b"Connection: upgrade", b"Upgrade: other"],
+        length_line=None,
+    ),
 }
 # RFC 9112, 2.2 and 5.2, and RFC 9110, 8.6, let a recipient repair or refuse these.
 REPAIRABLE_ANSWERS = {
--- a/tests/test_invalidanswers.py
+++ b/tests/test_invalidanswers.py
@@ -68,6 +68,7 @@
     "status 000",
     "status 099",
     "status 600",
+    "switch of the protocol",
     "lower case",
     "blank in the name",
     "00 in the value",
@@ -96,8 +97,9 @@
     assert list_runs(fleet, "r1") == ["i-1"]
 
 
-def test_an_invalid_answer_to_a_read_is_replaced_by_that_of_another_server(fleet):
-    fleet.machines[0].app.behave = send_raw(INVALID_ANSWERS["status 000"])
+@pytest.mark.parametrize("case", ["status 000", "switch of the protocol"])
+def test_an_invalid_answer_to_a_read_is_replaced_by_another_servers(fleet, case):
+    fleet.machines[0].app.behave = send_raw(INVALID_ANSWERS[case])
     found = ask(fleet.machines[0], "/read/1")
     assert (found.status, found.body) == (200, b"done ")
     assert list_runs(fleet, "r1") == ["i-0", "i-2"]
