--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -25,6 +25,9 @@
 MAX_HEADERS = 1000
 # Bytes of framing for each byte of a body that is sent in chunks.
 MAX_CHUNK_OVERHEAD = 1
+# The parser also takes answers of HTTP/0.9, HTTP/2.0, RTSP and ICE.
+VERSIONS = ("1.1", "1.0")
+PROTOCOL_START = b"H"
 
 
 class AnswerReader:
@@ -57,6 +60,7 @@
         self._counted_bytes = 0
         self._answers = []
         self._failure_detail = ""
+        self._awaits_start = True
         self._begin()
         self.must_close = False
 
@@ -74,6 +78,8 @@
 
     def feed(self, data):
         """Parse bytes from the backend server; bytes without end are an error."""
+        if self._awaits_start:
+            self._check_start(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -107,6 +113,7 @@
 
     def on_message_begin(self):
         """Start an answer; called by the parser."""
+        self._awaits_start = False
         if self._answers:
             self.must_close = True
         self._reset()
@@ -126,9 +133,13 @@
             self._length = parse_whole_number(value.strip())
 
     def on_headers_complete(self):
-        """Check the status after the last header; called by the parser."""
+        """Check the first line after the last header; called by the parser."""
         self._has_head = True
         self._status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if version not in VERSIONS:
+            self._fail(f"the answer has the version {version} of HTTP")
+            return
         try:
             check_status(self._status)
         except HeadError as error:
@@ -161,6 +172,7 @@
 
     def on_message_complete(self):
         """Complete the answer; called by the parser."""
+        self._awaits_start = True
         if self._has_head and self._method != "HEAD":
             self._complete()
 
@@ -168,6 +180,12 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
+    def _check_start(self, data):
+        """Check the first byte of an answer, as the parser knows other protocols."""
+        start = data.lstrip(b"\r\n")[:1]
+        if start and start != PROTOCOL_START:
+            self._fail(f"the answer is not HTTP: it begins with {start!r}")
+
     def _count_bodies(self):
         """Count the small bodies; fail if all bodies are too large."""
         fits = self._budget.reserve(self._small_bytes - self._counted_bytes)
--- a/tests/rawanswers.py
+++ b/tests/rawanswers.py
@@ -46,7 +46,11 @@
     "two blanks": b"HTTP/1.1  200 OK",
     "lower case": b"http/1.1 200 OK",
     "version 9.9": b"HTTP/9.9 200 OK",
+    "version 2.0": b"HTTP/2.0 200 OK",
+    "version 0.9": b"HTTP/0.9 200 OK",
     "ICY": b"ICY 200 OK",
+    "ICE": b"ICE/1.0 200 OK",
+    "RTSP": b"RTSP/1.0 200 OK",
 }
 FIELD_LINES = {
     "blank in the name": b"X Y: a",
--- a/tests/test_invalidanswers.py
+++ b/tests/test_invalidanswers.py
@@ -69,6 +69,8 @@
     "status 099",
     "status 600",
     "switch of the protocol",
+    "version 2.0",
+    "RTSP",
     "lower case",
     "blank in the name",
     "00 in the value",
