--- a/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
@@ -52,6 +52,7 @@
         self._deadline = deadline
         self._watch = watch
         self._is_sent = False
+        self._send_failure = ""
         self._reader = AnswerReader(
             request.method, budget, request.keeps_body, self._compute_remaining
         )
@@ -116,8 +117,13 @@
                 sent = self._sock.send(view)
             except BlockingIOError:
                 sent = 0
-            except OSError:
-                # The answer may have been sent before the connection was closed.
+            except BrokenPipeError:
+                # The backend server ended its side first, and with it its answer.
+                return False
+            except OSError as error:
+                # The answer may have been sent before the connection was reset. The
+                # socket reports a reset only once; later its input just ends.
+                self._send_failure = str(error)
                 return False
             view = view[sent:]
             if view:
@@ -140,6 +146,8 @@
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from None
             if data:
                 self._reader.feed(data)
+            elif self._send_failure:
+                raise RequestError(ErrorKind.OUTCOME_UNKNOWN, self._send_failure)
             else:
                 self._reader.feed_eof()
 
--- a/tests/operatorsrows.py
+++ b/tests/operatorsrows.py
@@ -27,10 +27,10 @@
     return {"entryKind": "services", "metadata": {"name": name}, "spec": spec}
 
 
-def make_config(version, *resources):
+def make_config(version, *resources, max_body_bytes=2**20):
     limits = {
         "headerBytes": 16384,
-        "maxBodyBytes": 2**20,
+        "maxBodyBytes": max_body_bytes,
         "headerTimeoutS": 3,
         "idleTimeoutS": 15,
     }
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -42,7 +42,12 @@
     """Answers each request with the next steps of a script.
 
     A step is bytes to send, a list of bytes to send again and again until the client
-    closes, seconds or an Event to wait for, "close" or "reset".
+    closes, seconds or an Event to wait for, "end" of the server's side, "close",
+    "reset" or "half-close", which ends the server's side and reads on.
+
+    Attributes:
+        closed: Event, set once the client closed during a list, or the server ended
+            its side.
     """
 
     def __init__(self, scripts, drains=True):
@@ -82,15 +87,22 @@
             for step in self._scripts.pop(0):
                 if isinstance(step, bytes):
                     sock.sendall(step)
+                elif step == "end":
+                    sock.shutdown(socket.SHUT_WR)
                 elif isinstance(step, list):
                     self._send_without_end(sock, step[0])
                     return
-                elif step == "reset":
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                    sock.close()
+                elif step == "half-close":
+                    sock.shutdown(socket.SHUT_WR)
+                    self.closed.set()
+                    while sock.recv(65536):
+                        pass
                     return
-                elif step == "close":
+                elif step in ("close", "reset"):
+                    if step == "reset":
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                     sock.close()
+                    self.closed.set()
                     return
                 elif isinstance(step, threading.Event):
                     step.wait(WAIT_SECONDS)
