--- a/packages/godwitrack_node/src/godwitrack_node/backend.py
+++ b/packages/godwitrack_node/src/godwitrack_node/backend.py
@@ -4,15 +4,18 @@
 
 import pycurl
 
-from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
-from godwitrack.store import HEAD_ENDS
+from godwitrack.exceptions import (
+    CallerDisconnected,
+    ErrorKind,
+    HeadError,
+    RequestError,
+)
+from godwitrack.headreader import HeadReader
+from godwitrack.numbers import parse_whole_number
 from godwitrack_node.backendrequest import BackendRequest
 
 MAX_IDLE_CONNECTION_SECONDS = 5
 CONNECT_TIMEOUT_MS = 1000
-# Status lines, headers and trailers of all answers to one request.
-MAX_HEAD_BYTES = 256 * 1024
-MAX_HEAD_LINES = 1000
 
 # Errors after which it is certain that no byte of the request was sent.
 UNSENT_ERRORS = frozenset(
@@ -141,12 +144,7 @@
         self._on_body = on_body
         self._before_send = before_send
         self._send_count = 0
-        self._status = 0
-        self._headers = []
-        self._head_bytes = 0
-        self._head_lines = 0
-        self._length = -1
-        self._is_head_complete = False
+        self._head = HeadReader()
         self._is_head_delivered = False
         self._buffer = request.body
         self._failure = None
@@ -159,7 +157,7 @@
             if self._failure is not None:
                 raise self._failure from None
             raise self._make_error(*error.args[:2]) from None
-        if not self._is_head_complete:
+        if not self._head.is_complete:
             # libcurl takes the end of the connection for the end of the head.
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the head broke off")
         if not self._is_head_delivered:
@@ -234,29 +232,13 @@
         return part
 
     def _receive_header(self, line):
-        self._head_bytes += len(line)
-        self._head_lines += 1
-        if self._head_bytes > MAX_HEAD_BYTES or self._head_lines > MAX_HEAD_LINES:
-            self._failure = RequestError(
-                ErrorKind.OUTCOME_UNKNOWN, "the head of the answer is too large"
-            )
+        try:
+            self._head.read_line(line)
+        except HeadError as error:
+            self._failure = RequestError(ErrorKind.OUTCOME_UNKNOWN, str(error))
             return -1
-        text = line.decode("latin-1").rstrip("\r\n")
-        if text.startswith("HTTP/"):
-            self._status = int(text.split(" ", 2)[1])
-            self._headers = []
-            self._length = -1
-            self._is_head_complete = False
-            return None
-        if line in HEAD_ENDS:
-            self._is_head_complete = True
-            if self._status >= 200 and self._request.method == "HEAD":
-                self._deliver_head()
-            return None
-        name, _, value = text.partition(":")
-        self._headers.append([name, value.strip()])
-        if name.lower() == "content-length" and value.strip().isdigit():
-            self._length = int(value)
+        if self._head.is_complete and self._request.method == "HEAD":
+            self._deliver_head()
         return None
 
     def _receive_body(self, data):
@@ -273,8 +255,10 @@
 
     def _deliver_head(self):
         self._is_head_delivered = True
+        head = self._head
+        length = parse_whole_number(head.get("content-length"))
         try:
-            self._on_head(self._status, self._headers, self._length)
+            self._on_head(head.status, head.headers, -1 if length is None else length)
         except Exception as error:
             self._failure = error
 
--- a/tests/test_invalidanswers.py
+++ b/tests/test_invalidanswers.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from cluster import Cluster, call
 from godwitrack.clock import SystemClock
 from godwitrack.exceptions import ErrorKind, RequestError
+from godwitrack_node.backend import BackendClient, TimedRequest
 from godwitrack_node.instance import InstanceClient, InstanceRequest
 from hostedfleet import ask, list_runs
 from rawanswers import (
@@ -35,7 +37,18 @@
     return answer.status, answer.body
 
 
-READERS = [read_with_instance_client]
+def read_with_backend_client(server, method):
+    """Return status and body as the guard of a stand-alone node reads them."""
+    statuses, parts = [], []
+    request = TimedRequest(method, "/x", [], b"", 0, None, WAIT_SECONDS)
+    BackendClient(server.address, 1).send(
+        request, lambda status, headers, length: statuses.append(status), parts.append
+    )
+    return statuses[0], b"".join(parts)
+
+
+LIBCURL_READERS = [read_with_backend_client]
+READERS = [read_with_instance_client, *LIBCURL_READERS]
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
@@ -56,6 +69,13 @@
     assert read(server, "GET") == (200, BODY)
 
 
+@pytest.mark.parametrize("answer", REPAIRABLE_ANSWERS.values(), ids=REPAIRABLE_ANSWERS)
+@pytest.mark.parametrize("read", LIBCURL_READERS)
+def test_what_the_standard_lets_a_recipient_repair_is_repaired(server, read, answer):
+    server.answer = answer
+    assert read(server, "GET") == (200, BODY)
+
+
 @pytest.mark.parametrize("answer", REPAIRABLE_ANSWERS.values(), ids=REPAIRABLE_ANSWERS)
 def test_what_the_standard_lets_a_recipient_refuse_is_refused(server, answer):
     server.answer = answer
@@ -64,7 +84,7 @@
 
 
 # One for each rule; the readers' tests have the others.
-FLEET_CASES = [
+CALLER_CASES = [
     "status 000",
     "status 099",
     "status 600",
@@ -91,7 +111,7 @@
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
 @pytest.mark.parametrize("number", [1, 0], ids=["own node", "another node"])
-@pytest.mark.parametrize("case", FLEET_CASES)
+@pytest.mark.parametrize("case", CALLER_CASES)
 def test_a_caller_gets_an_error_for_an_invalid_answer(fleet, case, number, method):
     """Guards against answers of a server in trouble that reach callers (MIXED)."""
     fleet.machines[1].app.behave = send_raw(INVALID_ANSWERS[case])
@@ -116,3 +136,31 @@
     machine.app.raw_health = b""
     wait_for(lambda: not machine.find("registration").is_blocked)
     assert ask(machine, "/lamp/1").status == 200
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(2, names=("scenbok-1", "verkstad-1")) as cluster:
+        yield cluster
+
+
+@pytest.mark.parametrize("case", CALLER_CASES)
+def test_a_caller_of_a_stand_alone_node_gets_an_error(
+    cluster, server, monkeypatch, case
+):
+    """Guards against answers of a server in trouble that reach callers (MIXED)."""
+    entry, target = cluster.members
+
+    def upload():
+        path = "/verkstad/firmware/lamp-4"
+        return call(entry.callers, "POST", path, body=b"x" * 2**20)
+
+    # A server that failed in another case is left alone for a while.
+    cluster.wait(lambda: upload()[0] == 200, "the server gets requests")
+    server.answer = INVALID_ANSWERS[case]
+    with monkeypatch.context() as patch:
+        client = BackendClient(server.address, 1)
+        patch.setattr(target.find("guard"), "_backend", client)
+        status, headers, _ = upload()
+    assert status == 502
+    assert headers["Godwitrack-Error"] == "outcome_unknown"
