--- a/packages/godwitrack/src/godwitrack/answerhead.py
+++ b/packages/godwitrack/src/godwitrack/answerhead.py
@@ -53,6 +53,22 @@
         raise HeadError(f"the value of the field {shown} holds {found[0]!r}")
 
 
+def check_head(status, headers):
+    """Check the head of a final answer.
+
+    Args:
+        status: HTTP status.
+        headers: List of pairs of texts.
+
+    Raises:
+        HeadError: The status is not final, or a field is not valid.
+    """
+    if status not in FINAL_STATUSES:
+        raise HeadError(f"the status {status:03d} is not within 200 to 599")
+    for name, value in headers:
+        check_field(name, value)
+
+
 def parse_status_line(line):
     """Return the status in the first line of a head.
 
--- a/packages/godwitrack_node/src/godwitrack_node/attempt.py
+++ b/packages/godwitrack_node/src/godwitrack_node/attempt.py
@@ -2,10 +2,12 @@
 
 import abc
 
+from godwitrack.answerhead import check_head
 from godwitrack.callmessages import Answer, Chunk, Outcome, Proceed, Query, Refused
 from godwitrack.exceptions import (
     CallerDisconnected,
     ErrorKind,
+    HeadError,
     LinkError,
     LinkTimeout,
     MessageError,
@@ -154,7 +156,7 @@
             if type(message) is Outcome:
                 sink.start(
                     message.status,
-                    check_headers(message.headers),
+                    _read_headers(message),
                     len(message.body),
                     message.body,
                     False,
@@ -163,6 +165,8 @@
             load = self._relay(link, message, sink, deadline)
             is_complete = True
             return load
+        except (HeadError, MessageError) as error:
+            raise RequestError(ErrorKind.ANSWER_LOST, str(error)) from None
         except SilentNode:
             is_kept = True
             raise
@@ -336,7 +340,7 @@
         if type(message) is not Answer:
             raise RequestError(ErrorKind.ANSWER_LOST, "no answer came")
         load = Load.from_data(message.load)
-        headers = check_headers(message.headers)
+        headers = _read_headers(message)
         if not message.more or self._budget is None:
             sink.start(
                 message.status, headers, message.length, message.body, message.more
@@ -374,6 +378,18 @@
         return max(deadline - self._clock.read_monotonic(), 0.0)
 
 
+def _read_headers(message):
+    """Return the headers of an Answer or Outcome after a check of its head.
+
+    Raises:
+        MessageError: The headers are not pairs of texts.
+        HeadError: The status or a header is not valid.
+    """
+    headers = check_headers(message.headers)
+    check_head(message.status, headers)
+    return headers
+
+
 def _always_true():
     return True
 
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -2,11 +2,12 @@
 
 import pytest
 
-from godwitrack.callmessages import Answer, RoutedCall
+from godwitrack.callmessages import Answer, Outcome, RoutedCall
 from godwitrack.exceptions import ErrorKind, LinkError, LinkTimeout, RequestError
 from godwitrack.load import Load
 from godwitrack_node.attempt import RemoteAttempt
 from godwitrack_node.attempterrors import NoTimeToConnect, SilentNode
+from godwitrack_node.ledger import OutcomeState
 from godwitrack_node.silencetimeout import compute_silence_timeout
 
 SILENCE_SECONDS = 0.2
@@ -200,3 +201,55 @@
     )
     attempt.run(make_call(), None, Sink())
     assert pool.queries == queries
+
+
+class InvalidLink:
+    """A link that answers each message with the same one."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.is_aborted = False
+
+    def send(self, message, timeout=None):
+        pass
+
+    def receive(self, timeout, watch=None):
+        return self._answer
+
+    def abort(self):
+        self.is_aborted = True
+
+
+def make_answer(status=200, headers=(), load=None):
+    load = Load(1, 0, 10, 1, 100).to_data() if load is None else load
+    return Answer("n.1.0", status, list(headers), load, 2, b"ok", False)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_answer(0),
+        make_answer(-1),
+        make_answer(99),
+        make_answer(101),
+        make_answer(600),
+        make_answer(headers=[["X Y", "a"]]),
+        make_answer(headers=[["X", "a\r\nY: b"]]),
+        make_answer(headers=[["X", "\u0100"]]),
+        make_answer(headers=[["X", 1]]),
+        make_answer(headers=["XY"]),
+        make_answer(load=["x"]),
+        Outcome(OutcomeState.FINISHED.value, 99, [], b"ok"),
+        Outcome(OutcomeState.FINISHED.value, 200, [["X Y", "a"]], b"ok"),
+    ],
+    ids=range(13),
+)
+def test_an_invalid_answer_of_another_node_is_no_answer(clock, message):
+    """Guards against what a node of an earlier build passes on (MIXED)."""
+    link, sink = InvalidLink(message), Sink()
+    attempt = make_attempt(clock, SilentPool(clock, link), lambda: False)
+    with pytest.raises(RequestError) as caught:
+        attempt.run(make_call(), None, sink)
+    assert caught.value.kind is ErrorKind.ANSWER_LOST
+    assert not sink.is_started
+    assert link.is_aborted
