--- a/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
+++ b/packages/godwitrack_lab/src/godwitrack_lab/inmemory.py
@@ -244,6 +244,11 @@
         self.status = 0
         self.body = b""
 
+    @property
+    def is_answered(self):
+        """Whether there is an answer."""
+        return self.status != 0
+
     def read_body(self):
         """Return no bytes, because the request has no body."""
         return b""
--- a/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
+++ b/packages/godwitrack_node/src/godwitrack_node/bodystreams.py
@@ -147,14 +147,19 @@
         self._request = request
         self._request_id_header = request_id_header
         self._remaining_bytes = None
-        self.is_started = False
         self.status = 0
 
+    @property
+    def is_started(self):
+        """Whether the head was sent, so that no other answer can follow."""
+        return self._connection.is_answered
+
     def start(self, status, headers, length, body, more):
         """Send the head and the first part, or hold a complete answer back.
 
         Raises:
-            RequestError: BACKEND_FAILED; the answer is held back.
+            RequestError: BACKEND_FAILED; the answer is held back. ANSWER_LOST; its head
+                is not valid or its body was cut short, and nothing was sent.
         """
         if not more and self._may_replace(status):
             self._held_answer = (status, headers, length, body)
@@ -174,8 +179,6 @@
         self._held_answer = None
 
     def _send_head(self, status, headers, length, body, more):
-        self.is_started = True
-        self.status = status
         if self._request_id_header is not None:
             headers = [*headers, self._request_id_header]
         if self._request.method == "HEAD" or status in NO_BODY_STATUSES:
@@ -185,7 +188,6 @@
             return
         if not more:
             if length >= 0 and length != len(body):
-                self.is_started = False
                 raise RequestError(ErrorKind.ANSWER_LOST, "the answer was cut short")
             length = len(body)
         elif length >= 0:
@@ -204,12 +206,12 @@
 
     def _start_answer(self, status, headers, length, body):
         keep_alive = self._request.keep_alive
-        if len(body) <= PART_BYTES:
-            self._connection.start_answer(status, headers, length, body, keep_alive)
-            return
-        # Sent apart from the head, so that it is not copied.
-        self._connection.start_answer(status, headers, length, b"", keep_alive)
-        self._connection.write_answer(body)
+        # A long first part is sent apart from the head, so that it is not copied.
+        first, rest = (body, b"") if len(body) <= PART_BYTES else (b"", body)
+        self._connection.start_answer(status, headers, length, first, keep_alive)
+        self.status = status
+        if rest:
+            self._connection.write_answer(rest)
 
 
 class LinkSource(BodySource):
--- a/packages/godwitrack_node/src/godwitrack_node/httpserver.py
+++ b/packages/godwitrack_node/src/godwitrack_node/httpserver.py
@@ -4,7 +4,13 @@
 import time
 from http import HTTPStatus
 
-from godwitrack.exceptions import CallerDisconnected, ErrorKind, RequestError
+from godwitrack.answerhead import check_head
+from godwitrack.exceptions import (
+    CallerDisconnected,
+    ErrorKind,
+    HeadError,
+    RequestError,
+)
 from godwitrack.routetable import CallerLimits
 from godwitrack.watch import Watch
 from godwitrack_node.requestbudget import BodyShare, BudgetShare, RequestBudget
@@ -203,8 +209,13 @@
             keep_alive: Whether the connection stays open afterwards.
 
         Raises:
+            RequestError: ANSWER_LOST; the head is not valid, and nothing was sent.
             CallerDisconnected: The caller closed the connection.
         """
+        try:
+            check_head(status, headers)
+        except HeadError as error:
+            raise RequestError(ErrorKind.ANSWER_LOST, str(error)) from None
         lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}"]
         lines.extend(f"{name}: {value}" for name, value in headers)
         self._chunked = length == -1
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -48,3 +48,32 @@
     assert caught.value.kind is ErrorKind.HEAD_TOO_LARGE
     near.close()
     far.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (0, []),
+        (99, []),
+        (101, []),
+        (600, []),
+        (-200, []),
+        (200, [("X Y", "a")]),
+        (200, [("", "a")]),
+        (200, [("X", "a\r\nY: b")]),
+        (200, [("X", "a\0b")]),
+        (200, [("X", "\u0100")]),
+    ],
+)
+def test_an_invalid_head_is_not_written(status, headers):
+    """Guards against answers of any origin that callers can't read (MIXED)."""
+    near, far = socket.socketpair()
+    connection = HttpConnection(near)
+    with pytest.raises(RequestError) as caught:
+        connection.start_answer(status, headers, 2, b"ok")
+    assert caught.value.kind is ErrorKind.ANSWER_LOST
+    assert not connection.is_answered
+    connection.start_answer(502, [("X", "a")], 0)
+    assert far.recv(1000).startswith(b"HTTP/1.1 502 ")
+    near.close()
+    far.close()
--- a/tests/test_invalidanswers.py
+++ b/tests/test_invalidanswers.py
@@ -137,6 +137,18 @@
     assert list_runs(fleet, "r1") == ["i-0", "i-2"]
 
 
+@pytest.mark.parametrize("number", [1, 0], ids=["own node", "another node"])
+def test_an_invalid_answer_that_a_reader_takes_goes_no_further(
+    fleet, monkeypatch, number
+):
+    """As from a node of an earlier build, whose reader checks no status."""
+    monkeypatch.setattr("godwitrack_node.answerreader.check_status", lambda status: 0)
+    fleet.machines[1].app.behave = send_raw(INVALID_ANSWERS["status 000"])
+    answer = ask(fleet.machines[number], "/lamp/1", method="POST")
+    assert answer.status == 502
+    assert b"answer_lost" in answer.body
+
+
 @pytest.mark.parametrize("first_line", [b"HTTP/1.1 000 OK", b"HTTP/1.1 600 OK"])
 def test_an_invalid_health_answer_says_nothing_of_its_server(fleet, first_line):
     """Guards against a server that counts as leaving for what it says in trouble."""
