Let one raw server serve the tests of answers, and one place say which statuses there are

The tests had a raw server of their own beside the scripted one, which does the same with a step "half-close"; neither let go of its thread when it was closed, and the scripted one does now. The range of informational statuses stood in instanceexchange beside the other rules of statuses.

--- a/packages/godwitrack/src/godwitrack/answerhead.py
+++ b/packages/godwitrack/src/godwitrack/answerhead.py
@@ -2,13 +2,14 @@
 
 RFC 9110 has them: statuses in section 15, names of fields in 5.1 and 5.6.2, and their
 values in 5.5. An answer that breaks one is no answer: its sender is in trouble, and
-where its head and body end is anyone's guess.
+where its head and its body end is not known.
 """
 
 import re
 
 from godwitrack.exceptions import HeadError
 
+INFORMATIONAL_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
 VALID_STATUSES = range(100, 600)
 # No request of a node asks for another protocol.
--- a/packages/godwitrack_node/src/godwitrack_node/answerreader.py
+++ b/packages/godwitrack_node/src/godwitrack_node/answerreader.py
@@ -106,8 +106,7 @@
 
     def feed_eof(self):
         """Handle the end of the connection, which ends an answer of unstated length."""
-        self.must_close = True
-        if self._has_head and not self._is_framed and not self._failure_detail:
+        if self._has_head and not self._is_framed:
             self._complete()
         self._fail("the answer broke off")
 
@@ -139,12 +138,12 @@
         version = self._parser.get_http_version()
         if version not in VERSIONS:
             self._fail(f"the answer has the version {version} of HTTP")
-            return
         try:
+            # The parser takes any three digits.
             check_status(self._status)
         except HeadError as error:
-            # The parser takes any three digits.
             self._fail(str(error))
+        if self._failure_detail:
             return
         if self._method == "HEAD" and self._status >= 200:
             self._complete()
--- a/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
+++ b/packages/godwitrack_node/src/godwitrack_node/instanceexchange.py
@@ -2,6 +2,7 @@
 
 import select
 
+from godwitrack.answerhead import INFORMATIONAL_STATUSES
 from godwitrack.exceptions import ErrorKind, RequestError
 from godwitrack.numbers import parse_whole_number
 from godwitrack.watch import has_input, wait_readable
@@ -11,7 +12,6 @@
 # Used if the backend server names no timeout; it closes idle connections all the same.
 DEFAULT_MAX_IDLE_SECONDS = 4.0
 IDLE_MARGIN_SECONDS = 1.0
-INFORMATIONAL_STATUSES = range(100, 200)
 
 
 class InstanceConnection:
--- a/tests/rawanswers.py
+++ b/tests/rawanswers.py
@@ -1,9 +1,4 @@
-"""Answers as raw bytes that are not valid HTTP, and a sender of them."""
-
-import socket
-import threading
-
-from godwitrack.address import Address
+"""Answers as raw bytes, most of which are not valid HTTP."""
 
 BODY = b"ok"
 LENGTH_LINE = b"Content-Length: 2"
@@ -118,42 +113,3 @@
     "trailer": make_chunked_answer(b"Transfer-Encoding: chunked", b"X: a\r\n"),
     "after 103": b"HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n" + make_raw_answer(),
 }
-
-
-class RawBackend:
-    """Answers each connection's first request with raw bytes and closes it.
-
-    Attributes:
-        address: Address at which it listens.
-        answer: Bytes to send.
-    """
-
-    def __init__(self, answer=b""):
-        self.answer = answer
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = Address(*self._socket.getsockname())
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def close(self):
-        self._socket.close()
-
-    def _serve(self):
-        while True:
-            try:
-                sock, _ = self._socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._answer, args=(sock,), daemon=True).start()
-
-    def _answer(self, sock):
-        with sock:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                if not (part := sock.recv(65536)):
-                    return
-                data += part
-            sock.sendall(self.answer)
-            sock.shutdown(socket.SHUT_WR)
-            # Closing with unread input would reset the connection.
-            while sock.recv(65536):
-                pass
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -62,6 +62,8 @@
         self._thread.start()
 
     def close(self):
+        # Wakes the thread that waits for a connection.
+        self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
     def _run(self):
--- a/tests/test_invalidanswers.py
+++ b/tests/test_invalidanswers.py
@@ -14,19 +14,26 @@
     INVALID_ANSWERS,
     REPAIRABLE_ANSWERS,
     VALID_ANSWERS,
-    RawBackend,
     make_raw_health,
 )
+from test_instance import ScriptedServer
 from testcaller import wait_for
 
 WAIT_SECONDS = 5.0
 
 
 @pytest.fixture
-def server():
-    server = RawBackend()
-    yield server
-    server.close()
+def start_server():
+    """A function that starts a server which sends raw bytes once."""
+    servers = []
+
+    def start(answer):
+        servers.append(ScriptedServer([[answer, "half-close"]]))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
 
 
 def read_with_instance_client(server, method):
@@ -63,34 +70,32 @@
 @pytest.mark.parametrize("method", ["GET", "POST"])
 @pytest.mark.parametrize("answer", INVALID_ANSWERS.values(), ids=INVALID_ANSWERS)
 @pytest.mark.parametrize("read", READERS)
-def test_an_invalid_answer_is_no_answer(server, read, answer, method):
+def test_an_invalid_answer_is_no_answer(start_server, read, answer, method):
     """Guards against answers of a server in trouble that reach callers (MIXED)."""
-    server.answer = answer
     with pytest.raises((RequestError, StoreError)) as caught:
-        read(server, method)
+        read(start_server(answer), method)
     if isinstance(caught.value, RequestError):
         assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
 
 
 @pytest.mark.parametrize("answer", VALID_ANSWERS.values(), ids=VALID_ANSWERS)
 @pytest.mark.parametrize("read", READERS)
-def test_an_unusual_answer_is_read(server, read, answer):
-    server.answer = answer
-    assert read(server, "GET") == (200, BODY)
+def test_an_unusual_answer_is_read(start_server, read, answer):
+    assert read(start_server(answer), "GET") == (200, BODY)
 
 
 @pytest.mark.parametrize("answer", REPAIRABLE_ANSWERS.values(), ids=REPAIRABLE_ANSWERS)
 @pytest.mark.parametrize("read", LIBCURL_READERS)
-def test_what_the_standard_lets_a_recipient_repair_is_repaired(server, read, answer):
-    server.answer = answer
-    assert read(server, "GET") == (200, BODY)
+def test_what_the_standard_lets_a_recipient_repair_is_repaired(
+    start_server, read, answer
+):
+    assert read(start_server(answer), "GET") == (200, BODY)
 
 
 @pytest.mark.parametrize("answer", REPAIRABLE_ANSWERS.values(), ids=REPAIRABLE_ANSWERS)
-def test_what_the_standard_lets_a_recipient_refuse_is_refused(server, answer):
-    server.answer = answer
+def test_what_the_standard_lets_a_recipient_refuse_is_refused(start_server, answer):
     with pytest.raises(RequestError):
-        read_with_instance_client(server, "GET")
+        read_with_instance_client(start_server(answer), "GET")
 
 
 # One for each rule; the readers' tests have the others.
@@ -168,7 +173,7 @@
 
 @pytest.mark.parametrize("case", CALLER_CASES)
 def test_a_caller_of_a_stand_alone_node_gets_an_error(
-    cluster, server, monkeypatch, case
+    cluster, start_server, monkeypatch, case
 ):
     """Guards against answers of a server in trouble that reach callers (MIXED)."""
     entry, target = cluster.members
@@ -179,7 +184,7 @@
 
     # A server that failed in another case is left alone for a while.
     cluster.wait(lambda: upload()[0] == 200, "the server gets requests")
-    server.answer = INVALID_ANSWERS[case]
+    server = start_server(INVALID_ANSWERS[case])
     with monkeypatch.context() as patch:
         client = BackendClient(server.address, 1)
         patch.setattr(target.find("guard"), "_backend", client)
