Let servers of the soak send heads that are not valid (MIXED)

Soaks cut answers in their heads and never sent a whole one with an invalid head, and no check asked which status a caller got. Now half of the answers of that fault, by the request's id, are whole and have the status 000, with the request's own id and a signature; a status outside 200 to 599 at a caller is a finding. Plans are drawn as before.

--- a/soak/soakchecks.py
+++ b/soak/soakchecks.py
@@ -3,6 +3,7 @@
 import collections
 import json
 
+from godwitrack.answerhead import FINAL_STATUSES
 from soakcallers import CALL_KINDS, TIMEOUT_SECONDS
 from soakfaults import MAINTENANCE_KINDS, may_end_caller_connection
 from soakfleet import WARM_UP_REQUESTS_PER_SECOND
@@ -104,6 +105,8 @@
                 yield Finding(
                     "MIXED", f"{call.request_id} got the answer of {answered_id}"
                 )
+            if answer.status not in FINAL_STATUSES:
+                yield Finding("MIXED", f"{call.request_id}: status {answer.status}")
             if answer.status == 200 and not _is_own_answer(call, answer):
                 yield Finding("MIXED", f"{call.request_id}: {answer.body[:80]!r}")
             if answer.status in NOT_RUN_STATUSES and runs:
--- a/soak/soakfaults.py
+++ b/soak/soakfaults.py
@@ -84,7 +84,7 @@
             FaultKind.SERVER_CLOCK: self._crash_server,
             FaultKind.SERVER_SLOW: self._slow_server,
             FaultKind.SERVER_BREAKS: self._break_server_answers,
-            FaultKind.SERVER_CUTS_HEADS: self._cut_server_heads,
+            FaultKind.SERVER_BREAKS_HEADS: self._break_server_heads,
             FaultKind.STORE_RESTORED: self._restore_store,
             FaultKind.REPORT_LATE: self._delay_report,
             FaultKind.SERVER_REBORN: self._bear_server_again,
@@ -226,11 +226,11 @@
         time.sleep(fault.seconds)
         server.breaks_answers = False
 
-    def _cut_server_heads(self, fault, machine):
+    def _break_server_heads(self, fault, machine):
         server = machine.server
-        server.cuts_heads = True
+        server.breaks_heads = True
         time.sleep(fault.seconds)
-        server.cuts_heads = False
+        server.breaks_heads = False
 
 
 def may_end_caller_connection(fault, node):
--- a/soak/soakplan.py
+++ b/soak/soakplan.py
@@ -31,7 +31,7 @@
     SERVER_CLOCK = "server_clock"
     SERVER_SLOW = "server_slow"
     SERVER_BREAKS = "server_breaks"
-    SERVER_CUTS_HEADS = "server_cuts_heads"
+    SERVER_BREAKS_HEADS = "server_breaks_heads"
     STORE_RESTORED = "store_restored"
     REPORT_LATE = "report_late"
     SERVER_REBORN = "server_reborn"
@@ -72,7 +72,7 @@
 # Kinds that were added later: they are drawn from a sequence of their own, so that the
 # faults of a seed that once had findings stay the same.
 LATER_DURATIONS_AND_WEIGHTS = {
-    FaultKind.SERVER_CUTS_HEADS: (0.3, 2.0, 1),
+    FaultKind.SERVER_BREAKS_HEADS: (0.3, 2.0, 1),
     FaultKind.STORE_RESTORED: (0.5, 4.0, 2),
     FaultKind.REPORT_LATE: (0.3, 4.0, 3),
     FaultKind.SERVER_REBORN: (0.1, 1.0, 1),
--- a/soak/soakserver.py
+++ b/soak/soakserver.py
@@ -10,7 +10,12 @@
 LONG_ANSWER_BYTES = 700_000
 # One idempotent request in so many makes a call of its own while it runs.
 NESTED_CALL_SHARE = 6
+# An answer that ends within its head, and a whole one whose status is none of HTTP.
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nGodwitrack-Server-Signature: s\r\nContent-Len"
+INVALID_ANSWER = (
+    b"HTTP/1.1 000 OK\r\nGodwitrack-Server-Signature: s\r\n"
+    b"Godwitrack-Request-Id: %b\r\nContent-Length: 2\r\n\r\nok"
+)
 
 
 class Run:
@@ -56,7 +61,7 @@
         draining_since: Monotonic time in seconds at which its node accepted that it
             drains, or None.
         breaks_answers: Whether it closes connections instead of answering.
-        cuts_heads: Whether it closes connections in the middle of an answer's head.
+        breaks_heads: Whether it cuts answers in their heads or sends invalid heads.
         call_node: Function that makes a call through its own node while a request
             with the given id runs, or None.
     """
@@ -77,7 +82,7 @@
         self.started_at = time.monotonic()
         self.draining_since = None
         self.breaks_answers = False
-        self.cuts_heads = False
+        self.breaks_heads = False
         self.call_node = None
         self.behave = self._answer_run
         self._runs = runs
@@ -111,13 +116,19 @@
         length = self._lengths.pop(request_id, 0)
         if self.breaks_answers or (self.seconds and not self._work(sock)):
             return False
-        if self.cuts_heads:
-            sock.sendall(CUT_HEAD)
+        if self.breaks_heads:
+            sock.sendall(make_broken_answer(request_id))
             return False
         self.send_answer(request_id, connection, make_answer_text(request_id, length))
         return True
 
 
+def make_broken_answer(request_id):
+    """Return an answer with a cut or an invalid head; a request's id tells which."""
+    identity = request_id.encode()
+    return INVALID_ANSWER % identity if zlib.crc32(identity) % 2 else CUT_HEAD
+
+
 def is_long_answer(request_id):
     """Return whether the answer to a request has more than one part on a link."""
     return zlib.crc32(request_id.encode()) % LONG_ANSWER_SHARE == 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -252,6 +252,11 @@
     assert fleet.check() == found
 
 
+def test_an_answer_with_an_invalid_status_is_found(fleet):
+    fleet.add_call(READ, answer=Answer(0, {}, b"ok"))
+    assert fleet.check() == ["MIXED"]
+
+
 @pytest.mark.parametrize(
     "changes", [{"target": "/read/x"}, {"length": 7}, {"caller_service": "other"}]
 )
